--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,720 @@
+package control
+
+// The interface of this module (settings, events, actions) is control/api.go; this file makes every decision.
+//
+// A Host is one scheduler. It queues requests per shard and lets them leave for the shard's node by SFQ(D)+: in
+// start-tag order, while the slot cost of what is out at the node stays within its depth, with capped backfill.
+// Around that path stand the guards of the seven rules and the defences, each with a note on when it acts.
+// Events go in by Handle; Decide ends a batch and returns the actions.
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	startDepth   = 8.0 // slots at a node of which nothing is known yet; the design's value
+	leastDepth   = 1.0 // one request must always be able to leave, or nothing would be learned
+	mostDepth    = 64.0
+	mostSlots    = 4.0  // a request's slot cost at most; the design's value
+	depthGain    = 1.0  // slots that a node gains each period while its depth holds requests back
+	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
+	nodePart     = 0.4  // part of the shortest aim that a request may spend at its node; the rest is for waiting here
+	learnWeight  = 0.25 // weight of a new latency against the running mean
+	leastPeriod  = 50 * time.Millisecond
+	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
+	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
+	downFirst    = 50 * time.Millisecond
+	downMost     = time.Second // a node that fails is tried again after downFirst, doubling up to this
+	sureMargin   = 2 * time.Millisecond
+	tokenReview  = 1
+	tokenWatch   = 2
+	doublingsMax = 10
+)
+
+// request is one client's try, from its arrival until it has its answer and no attempt of it is out.
+type request struct {
+	Request
+	class    *class
+	vol      *volume
+	shard    *shard // where it is queued or was sent
+	seq      uint64
+	start    float64 // start tag
+	advance  float64 // what it moved its volume's finish tag on by
+	covered  float64 // units that it took from the volume's reserve
+	cost     float64 // slots
+	passed   float64 // slots promoted past it by backfill
+	aimBy    time.Duration
+	sentAt   time.Duration
+	ranFrom  time.Duration // send of the first attempt that may have run
+	ranAt    *node         // and where it went; nil: none has run
+	node     *node         // where its attempt is out; nil: none is
+	attempts int
+	charged  bool // has taken its units from the limit's store
+	queued   bool
+	ended    bool
+	unsure   time.Duration // when an attempt last ended without its work surely being over; 0: never
+}
+
+// class adds to a class's settings what this host has seen of it.
+type class struct {
+	Class
+	mean float64 // running mean of sizes in units
+	seen float64
+	span time.Duration // longest time that a try was given: that of a first try
+}
+
+// store is a bucket of units.
+type store struct {
+	level float64
+	at    time.Duration
+}
+
+// fill brings the store up to now.
+func (s *store) fill(now time.Duration, rate, most float64) {
+	s.level = min(most, s.level+rate*(now-s.at).Seconds())
+	s.at = now
+}
+
+// volume is a flow.
+type volume struct {
+	plan    Plan
+	writers float64
+	reserve store
+	limit   store
+	finish  map[*shard]float64 // last finish tag
+}
+
+// shard is the queue of requests for one cell.
+type shard struct {
+	cell  int
+	node  *node // that holds the cell now; nil: none is listed as ready
+	vt    float64
+	queue []*request // by start tag, then age
+	units float64    // queued
+}
+
+// mark is a send that a cold node's budget remembers.
+type mark struct {
+	at    time.Duration
+	units float64
+}
+
+// node is a storage node's process as this host sees it.
+type node struct {
+	Entry
+	out       []*request // oldest first
+	used      float64    // slots that they cost
+	depth     float64
+	limited   bool // depth held a request back since it was last adapted
+	latency   time.Duration
+	adaptedAt time.Duration
+	fails     int // in a row
+	retryAt   time.Duration
+	sent      []mark
+}
+
+// chain holds the requests of one ordered key, oldest first.
+type chain struct {
+	list []*request
+	rest time.Duration // the next may not be sent before this
+}
+
+// Host is one scheduler.
+type Host struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	born     time.Duration
+	alive    bool
+	acts     []Action
+	classes  []*class
+	reqs     map[uint32]*request
+	nodes    map[Server]*node
+	shards   []*shard // by cell
+	vols     map[uint64]*volume
+	keys     map[uint64]*chain
+	seq      uint64
+	leastAim time.Duration
+	mean     float64 // running mean of sizes over all classes
+	review   bool    // a timer for the next review is pending
+	watch    bool    // a timer for the next watch is pending
+	taken    []time.Duration
+	extras   []time.Duration
+}
+
+// New starts a host that knows nothing but its settings.
+func New(seed uint64, set Settings) *Host {
+	h := &Host{set: set, rng: rand.New(rand.NewPCG(seed, 0)), reqs: map[uint32]*request{},
+		nodes: map[Server]*node{}, vols: map[uint64]*volume{}, keys: map[uint64]*chain{}, mean: set.MeanUnits}
+	for _, c := range set.Classes {
+		h.classes = append(h.classes, &class{Class: c})
+		if c.Aim > 0 && (h.leastAim == 0 || c.Aim < h.leastAim) {
+			h.leastAim = c.Aim
+		}
+	}
+	return h
+}
+
+// Handle takes one event in.
+func (h *Host) Handle(now time.Duration, ev Event) {
+	h.begin(now)
+	switch ev := ev.(type) {
+	case Members:
+		h.members(ev)
+	case Request:
+		h.take(ev)
+	case Outcome:
+		h.outcome(ev)
+	case Left:
+		h.left(ev)
+	case Timer:
+		h.timer(ev)
+	}
+}
+
+// begin sets the clock; at the first event of a host's life it also opens the watch that an asking site needs.
+func (h *Host) begin(now time.Duration) {
+	h.now = now
+	if h.alive {
+		return
+	}
+	h.alive, h.born = true, now
+	if h.set.Ask {
+		h.act(Watch{On: true})
+	}
+}
+
+// Decide lets requests leave, gives up on those that cannot be served in time, and returns all actions since the
+// last call.
+func (h *Host) Decide(now time.Duration) []Action {
+	h.begin(now)
+	held := false
+	for _, s := range h.shards {
+		if len(s.queue) == 0 {
+			continue
+		}
+		h.dispatch(s)
+		h.triage(s)
+		held = held || len(s.queue) > 0
+	}
+	if held && !h.review {
+		h.review = true
+		h.act(SetTimer{Token: tokenReview, After: reviewEvery})
+	}
+	acts := h.acts
+	h.acts = nil
+	return acts
+}
+
+func (h *Host) act(a Action) { h.acts = append(h.acts, a) }
+
+func (h *Host) timer(t Timer) {
+	switch t.Token {
+	case tokenReview:
+		h.review = false
+	case tokenWatch:
+		h.watch = false
+		h.act(Watch{On: true})
+	}
+}
+
+// ---- The list of nodes ----
+
+// members follows the list. A failed call does not tell whether a watch still stands, so it is opened again, at a
+// random moment so that the hosts of a whole site do not ask in step.
+func (h *Host) members(m Members) {
+	if m.Form == ListFailed {
+		if h.set.Ask && !h.watch {
+			h.watch = true
+			h.act(SetTimer{Token: tokenWatch, After: watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain)))})
+		}
+		return
+	}
+	if m.Form != ListDelta {
+		listed := map[Server]bool{}
+		for _, e := range m.Entries {
+			listed[e.Server] = true
+		}
+		for id, n := range h.nodes {
+			if !listed[id] {
+				n.Status = Gone
+			}
+		}
+	}
+	for _, e := range m.Entries {
+		h.enter(e)
+	}
+	h.assignNodes()
+}
+
+// enter notes one entry. A fresh boot time means that the process restarted: what was learned of it is void.
+func (h *Host) enter(e Entry) {
+	n := h.nodes[e.Server]
+	if n == nil {
+		n = &node{depth: startDepth, latency: h.target() / 2}
+		h.nodes[e.Server] = n
+	} else if e.Boot > n.Boot {
+		n.fails, n.retryAt, n.depth, n.latency = 0, 0, startDepth, h.target()/2
+	}
+	n.Entry = e
+	h.shardOf(int(e.Cell))
+}
+
+// assignNodes points each shard at the ready node that holds it; of two, at the one that started last.
+func (h *Host) assignNodes() {
+	ready := make([]*node, 0, len(h.nodes))
+	for _, n := range h.nodes {
+		if n.Status == Ready {
+			ready = append(ready, n)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *node) int {
+		return cmp.Or(cmp.Compare(a.Boot, b.Boot), slices.Compare(a.Server.Addr[:], b.Server.Addr[:]),
+			cmp.Compare(a.Server.Port, b.Server.Port))
+	})
+	for _, s := range h.shards {
+		s.node = nil
+	}
+	for _, n := range ready {
+		h.shardOf(int(n.Cell)).node = n
+	}
+}
+
+func (h *Host) shardOf(cell int) *shard {
+	i, ok := slices.BinarySearchFunc(h.shards, cell, func(s *shard, c int) int { return cmp.Compare(s.cell, c) })
+	if !ok {
+		h.shards = slices.Insert(h.shards, i, &shard{cell: cell})
+	}
+	return h.shards[i]
+}
+
+// ---- Taking requests ----
+
+func (h *Host) take(q Request) {
+	h.taken = append(h.taken, h.now)
+	if q.Class >= len(h.classes) || q.Expires <= h.now+sureMargin || (q.Cell < 0 && len(h.shards) == 0) {
+		h.act(Refuse{ID: q.ID})
+		return
+	}
+	c := h.classes[q.Class]
+	c.span = max(c.span, q.Expires-h.now)
+	r := &request{Request: q, class: c, vol: h.volumeOf(q), aimBy: q.Expires}
+	if c.Aim > 0 {
+		r.aimBy = q.Expires - c.span + c.Aim // a client's retry has less time left than a first try
+	}
+	r.Units = max(q.Units, 1)
+	r.cost = c.slots(r.Units)
+	h.mean += (r.Units - h.mean) * learnWeight / 16
+	h.reqs[q.ID] = r
+	if c.InOrder && q.Key != 0 {
+		k := h.keys[q.Key]
+		if k == nil {
+			k = &chain{}
+			h.keys[q.Key] = k
+		}
+		k.list = append(k.list, r)
+	}
+	if q.Cell < 0 {
+		r.shard = h.place(r)
+	} else {
+		r.shard = h.shardOf(q.Cell)
+	}
+	h.tag(r)
+	h.enqueue(r)
+}
+
+// slots is the design's slot cost: 1 up to the running mean of the class's sizes, the ratio above it.
+func (c *class) slots(units float64) float64 {
+	cost := 1.0
+	if c.seen > 0 && units > c.mean {
+		cost = min(mostSlots, math.Ceil(units/c.mean))
+	}
+	c.seen++
+	c.mean += (units - c.mean) / c.seen
+	return cost
+}
+
+// volumeOf finds a volume. Its limit's store starts empty: a host that was killed may have spent it before, and
+// units that other hosts count on must not come twice.
+func (h *Host) volumeOf(q Request) *volume {
+	v := h.vols[q.Volume]
+	if v == nil {
+		v = &volume{finish: map[*shard]float64{}, limit: store{at: h.born}, reserve: store{at: h.now}}
+		if q.Plan < len(h.set.Plans) {
+			v.plan = h.set.Plans[q.Plan]
+		}
+		if v.plan.Weight <= 0 {
+			v.plan.Weight = 1
+		}
+		v.reserve.level = v.reserveMost(h.set.MostUnits)
+		h.vols[q.Volume] = v
+	}
+	v.writers = max(1, float64(q.Writers), v.writers)
+	return v
+}
+
+func (v *volume) reserveMost(most float64) float64 {
+	if v.plan.Reserve <= 0 {
+		return 0
+	}
+	return v.plan.Reserve + most
+}
+
+// cover takes units from a volume's reserve and returns how many it held.
+func (h *Host) cover(v *volume, units float64) float64 {
+	most := v.reserveMost(h.set.MostUnits)
+	v.reserve.fill(h.now, v.plan.Reserve, most)
+	got := min(units, max(0, v.reserve.level))
+	v.reserve.level -= got
+	return got
+}
+
+// tag gives a request its start tag and moves its volume's finish tag on. Units inside the reserve do not move it,
+// and a request that lies wholly inside starts at the virtual time: the reserve comes first, the share next.
+func (h *Host) tag(r *request) {
+	s := r.shard
+	r.covered = h.cover(r.vol, r.Units)
+	r.advance = (r.Units - r.covered) / r.vol.plan.Weight
+	r.start = s.vt
+	if r.advance > 0 {
+		r.start = max(s.vt, r.vol.finish[s])
+		r.vol.finish[s] = r.start + r.advance
+	}
+	h.seq++
+	r.seq = h.seq
+}
+
+// untag gives back what a request that was never served took: its volume's place and reserve.
+func (h *Host) untag(r *request) {
+	r.vol.finish[r.shard] -= r.advance
+	r.vol.reserve.level += r.covered
+	r.advance, r.covered = 0, 0
+}
+
+func byTag(a, b *request) int {
+	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.seq, b.seq))
+}
+
+func (h *Host) enqueue(r *request) {
+	s := r.shard
+	i, _ := slices.BinarySearchFunc(s.queue, r, byTag)
+	s.queue = slices.Insert(s.queue, i, r)
+	s.units += r.Units
+	r.queued = true
+}
+
+func (h *Host) dequeue(r *request) {
+	if !r.queued {
+		return
+	}
+	s := r.shard
+	if i := slices.Index(s.queue, r); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+	s.units -= r.Units
+	r.queued = false
+}
+
+// place picks the shard for a new object: the least work at hand for the node's learned rate.
+func (h *Host) place(r *request) *shard {
+	var best *shard
+	least := math.Inf(1)
+	for _, s := range h.shards {
+		wait := math.MaxFloat64
+		if n := s.node; n != nil && n.fails == 0 && h.coldLeft(n) >= r.Units {
+			wait = (h.expect(n) * time.Duration(1+len(n.out))).Seconds() + s.units/h.rate(n)
+		}
+		if wait < least {
+			best, least = s, wait
+		}
+	}
+	return best
+}
+
+// ---- The ordinary path ----
+
+// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go does not
+// fit, smaller ones behind it may, until what was promoted past it costs as much as it does.
+func (h *Host) dispatch(s *shard) {
+	n := s.node
+	var head *request
+	for i := 0; i < len(s.queue) && n != nil && h.usable(n); {
+		r := s.queue[i]
+		if !h.mayGo(r, n) {
+			i++
+			continue
+		}
+		if len(n.out) > 0 && n.used+r.cost > n.depth {
+			n.limited = true
+			if head == nil {
+				head = r
+			}
+			i++
+			continue
+		}
+		if head != nil {
+			if head.passed += r.cost; head.passed > head.cost {
+				return
+			}
+		}
+		if h.coldLeft(n) < r.Units {
+			return
+		}
+		h.dequeue(r)
+		h.send(r, n)
+	}
+}
+
+// usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
+func (h *Host) usable(n *node) bool {
+	return n.Status == Ready && (n.fails == 0 || (len(n.out) == 0 && h.now >= n.retryAt))
+}
+
+// mayGo holds the guards that concern one request: its key's turn, its class's repeats, its plan's limit.
+func (h *Host) mayGo(r *request, n *node) bool {
+	if r.class.InOrder && r.Key != 0 {
+		k := h.keys[r.Key]
+		if k.list[0] != r || (r.attempts == 0 && h.now < k.rest) {
+			return false
+		}
+	}
+	if r.attempts > 0 && !h.mayRepeat(r, n) {
+		return false
+	}
+	return r.charged || r.vol.plan.Limit <= 0 || h.limitLeft(r.vol) >= r.Units
+}
+
+// limitLeft is this host's even part of what the volume's limit allows now.
+func (h *Host) limitLeft(v *volume) float64 {
+	v.limit.fill(h.now, v.plan.Limit/v.writers, v.plan.Burst/v.writers)
+	return v.limit.level
+}
+
+// mayRepeat guards against a second effect, and keeps the budget of further attempts.
+func (h *Host) mayRepeat(r *request, n *node) bool {
+	if r.attempts >= h.set.MaxAttempts || !h.budgetLeft() {
+		return false
+	}
+	if r.ranAt == nil || r.class.Repeat == Safe {
+		return true
+	}
+	if r.class.Repeat == Unsafe || h.now+sureMargin >= r.ranFrom+r.class.Window {
+		return false
+	}
+	return r.class.Group == GroupAll || (r.class.Group == GroupZone && n.Zone == r.ranAt.Zone) ||
+		(r.class.Group == GroupCell && n.Cell == r.ranAt.Cell)
+}
+
+// budgetLeft tells whether one more attempt beyond a request's first stays within the stated budget.
+func (h *Host) budgetLeft() bool {
+	if !h.set.Budget {
+		return true
+	}
+	old := func(at time.Duration) bool { return at < h.now-h.set.BudgetWindow }
+	h.extras = slices.DeleteFunc(h.extras, old)
+	kept := slices.IndexFunc(h.taken, func(at time.Duration) bool { return at > h.now-h.set.BudgetWindow })
+	if kept < 0 {
+		kept = len(h.taken)
+	}
+	h.taken = h.taken[kept:]
+	return float64(len(h.extras)+1) <= h.set.BudgetFloor+h.set.BudgetRatio*float64(len(h.taken))
+}
+
+// coldLeft is how many units a node may be sent now. A cold one bears a stated figure in each window over all
+// hosts; this host uses its even part, growing as the node is sure to warm up, reckoned from the window's start.
+func (h *Host) coldLeft(n *node) float64 {
+	age := h.now - n.Boot
+	if n.Boot == 0 || h.set.Ramp == 0 || age >= h.set.Ramp+h.set.FallWindow {
+		return math.Inf(1)
+	}
+	part := h.set.ColdUnits / float64(max(h.set.Hosts, 1))
+	if since := age - h.set.FallWindow; since > 0 && h.set.ColdShare > 0 {
+		part *= 1 + (1/h.set.ColdShare-1)*since.Seconds()/h.set.Ramp.Seconds()
+	}
+	for _, m := range n.sent {
+		if m.at >= h.now-h.set.FallWindow {
+			part -= m.units
+		}
+	}
+	return part
+}
+
+// send starts an attempt. The virtual time moves to the start tag of what leaves.
+func (h *Host) send(r *request, n *node) {
+	if r.attempts > 0 {
+		h.extras = append(h.extras, h.now)
+	}
+	if !r.charged {
+		r.charged = true
+		r.vol.limit.level -= r.Units
+	}
+	r.shard.vt = max(r.shard.vt, r.start)
+	r.attempts++
+	r.node, r.sentAt = n, h.now
+	n.out = append(n.out, r)
+	n.used += r.cost
+	n.sent = slices.DeleteFunc(n.sent, func(m mark) bool { return m.at < h.now-h.set.FallWindow })
+	n.sent = append(n.sent, mark{h.now, r.Units})
+	h.act(Send{ID: r.ID, Server: n.Server})
+}
+
+// ---- What cannot be served in time ----
+
+// triage looks through what is held in tag order and gives up at once on what would miss its aim behind the work
+// before it: it would only take slots from requests that can still be in time.
+func (h *Host) triage(s *shard) {
+	n, ahead := s.node, 0.0
+	for _, r := range slices.Clone(s.queue) {
+		wait := time.Duration(0)
+		if n != nil {
+			wait = h.expect(n) + time.Duration(ahead/h.rate(n)*float64(time.Second))
+		}
+		if h.now+wait <= r.aimBy && (r.attempts == 0 || n == nil || h.mayRepeat(r, n)) {
+			ahead += r.Units
+			continue
+		}
+		h.dequeue(r)
+		h.giveUp(r, wait)
+	}
+}
+
+// giveUp ends a request: by a refusal where that is true, else by a failure.
+func (h *Host) giveUp(r *request, backoff time.Duration) {
+	if r.ranAt == nil || r.class.Repeat == Safe || (r.class.Repeat == Keyed && r.class.Group == GroupAll) {
+		if !h.set.RetryAfter {
+			backoff = 0
+		}
+		h.act(Refuse{ID: r.ID, Backoff: min(backoff, h.set.MaxRetryAfter)})
+	} else {
+		h.act(Fail{ID: r.ID})
+	}
+	if r.attempts == 0 {
+		h.untag(r)
+	}
+	h.end(r)
+}
+
+// end closes a request that has its answer. While an attempt is out it stays known, and keeps its key's turn.
+func (h *Host) end(r *request) {
+	h.dequeue(r)
+	r.ended = true
+	if r.node != nil {
+		return
+	}
+	delete(h.reqs, r.ID)
+	k := h.keys[r.Key]
+	if !r.class.InOrder || r.Key == 0 || k == nil {
+		return
+	}
+	k.list = slices.DeleteFunc(k.list, func(o *request) bool { return o == r })
+	if r.unsure > 0 {
+		k.rest = max(k.rest, r.unsure+h.set.OrderPause)
+	}
+	if len(k.list) == 0 && k.rest <= h.now {
+		delete(h.keys, r.Key)
+	}
+}
+
+func (h *Host) left(l Left) {
+	if r := h.reqs[l.ID]; r != nil {
+		h.end(r)
+	}
+}
+
+// ---- Outcomes ----
+
+func (h *Host) outcome(o Outcome) {
+	r := h.reqs[o.ID]
+	if r == nil || r.node == nil || o.Attempt != r.attempts-1 {
+		return
+	}
+	n := r.node
+	r.node = nil
+	n.used -= r.cost
+	n.out = slices.DeleteFunc(n.out, func(q *request) bool { return q == r })
+	h.judge(n, o)
+	h.settle(r, n, o)
+	if r.ended || o.Ended {
+		h.end(r)
+		return
+	}
+	again := o.Code != OK && o.Code != Moot && o.Code != Cancelled && h.now < r.aimBy &&
+		(r.ranAt == nil || r.class.Repeat != Unsafe) && r.attempts < h.set.MaxAttempts
+	if !again {
+		h.giveUp(r, h.expect(n))
+		return
+	}
+	if r.Cell < 0 && (r.ranAt == nil || r.class.Repeat == Safe) {
+		r.shard = h.place(r)
+	}
+	h.enqueue(r)
+}
+
+// settle notes what an outcome says of the request and its volume.
+func (h *Host) settle(r *request, n *node, o Outcome) {
+	switch o.Code {
+	case Full, ConnectFailed, Moot:
+	default:
+		if r.ranAt == nil {
+			r.ranAt, r.ranFrom = n, r.sentAt
+		}
+	}
+	if o.Code == TimedOut || o.Code == Reset || o.Code == Cancelled {
+		r.unsure = h.now
+	}
+	if o.Elsewhere > 0 {
+		h.elsewhere(r, o.Elsewhere)
+	}
+}
+
+// elsewhere counts what other hosts sent for a volume as if it had been sent here, so that tags and the reserve
+// follow the volume's total service (as DSFQ does).
+func (h *Host) elsewhere(r *request, units float64) {
+	beyond := units - h.cover(r.vol, units)
+	s := r.shard
+	r.vol.finish[s] = max(s.vt, r.vol.finish[s]) + beyond/r.vol.plan.Weight
+}
+
+// judge learns from an outcome how the node is doing.
+func (h *Host) judge(n *node, o Outcome) {
+	switch o.Code {
+	case OK, Error, Full:
+		n.fails = 0
+	case ConnectFailed, Reset, TimedOut:
+		n.fails++
+		n.retryAt = h.now + min(downMost, downFirst<<min(n.fails-1, doublingsMax))
+	}
+	if o.Code == OK || o.Code == TimedOut {
+		n.latency += time.Duration(learnWeight * float64(o.Took-n.latency))
+		h.adapt(n)
+	}
+}
+
+// target is how long a request may be at its node.
+func (h *Host) target() time.Duration { return time.Duration(nodePart * float64(h.leastAim)) }
+
+// adapt learns the depth at which a request's time at the node meets the target, so that waiting happens here, in
+// tag order, and not in the node's own queue. Each host that does so gets a like part of the node. It acts always;
+// depth grows only while it holds requests back.
+func (h *Host) adapt(n *node) {
+	if h.now-n.adaptedAt < max(n.latency, leastPeriod) || n.latency <= 0 || h.leastAim <= 0 {
+		return
+	}
+	want := n.depth*float64(h.target())/float64(n.latency) + depthGain
+	if want < n.depth || n.limited {
+		n.depth = min(mostDepth, max(leastDepth, n.depth+depthStep*(want-n.depth)))
+	}
+	n.limited, n.adaptedAt = false, h.now
+}
+
+// expect is how long a request sent now will take at the node.
+func (h *Host) expect(n *node) time.Duration { return n.latency }
+
+// rate is how many units a second the node serves this host when its depth is used.
+func (h *Host) rate(n *node) float64 {
+	return max(1, max(n.used, n.depth)*max(h.mean, 1)/max(n.latency, time.Millisecond).Seconds())
+}
