Never hold a request beyond its client's wait

Cause: the aim of a retry is told from the longest span a try was given; a host just restarted had seen only retries, so the aim lay past the client's wait and two requests got no answer.

--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,7 @@
 	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second // a node that fails is tried again after downFirst, doubling up to this
-	sureMargin   = 2 * time.Millisecond
+	sureMargin   = 10 * time.Millisecond // two reviews: what must be over by some time is over this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
 	doublingsMax = 10
@@ -306,6 +306,8 @@
 	if c.Aim > 0 {
 		r.aimBy = q.Expires - c.span + c.Aim // a client's retry has less time left than a first try
 	}
+	// A host that has seen nothing but retries yet knows too short a span: never hold beyond the client's wait.
+	r.aimBy = min(r.aimBy, q.Expires-sureMargin)
 	r.Units = max(q.Units, 1)
 	r.cost = c.slots(r.Units)
 	h.mean += (r.Units - h.mean) * learnWeight / 16
