Take back the slots of attempts that are out for far too long

Now an attempt out for more than the mean latency and 8 mean deviations costs no slots, and a time-out speaks of the node only if nothing newer was answered. Covers also hung nodes, stuck requests, cut links; may hurt where heavy requests are common, as more are let in.

--- a/control/control.go
+++ b/control/control.go
@@ -24,11 +24,12 @@
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
 	nodePart     = 0.4  // part of the shortest aim that a request may spend at its node; the rest is for waiting here
 	learnWeight  = 0.25 // weight of a new latency against the running mean
+	deviations   = 8    // an attempt this many mean deviations over the mean latency is taken for lost or stuck
 	leastPeriod  = 50 * time.Millisecond
 	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
 	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
-	downMost     = time.Second // a node that fails is tried again after downFirst, doubling up to this
+	downMost     = time.Second           // a node that fails is tried again after downFirst, doubling up to this
 	sureMargin   = 10 * time.Millisecond // two reviews: what must be over by some time is over this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
@@ -56,6 +57,7 @@
 	charged  bool // has taken its units from the limit's store
 	queued   bool
 	ended    bool
+	unpinned bool          // its attempt costs no slots any more
 	unsure   time.Duration // when an attempt last ended without its work surely being over; 0: never
 }
 
@@ -111,6 +113,8 @@
 	depth     float64
 	limited   bool // depth held a request back since it was last adapted
 	latency   time.Duration
+	deviation time.Duration // mean, of latencies
+	heardAt   time.Duration // last answer
 	adaptedAt time.Duration
 	fails     int // in a row
 	retryAt   time.Duration
@@ -255,10 +259,11 @@
 func (h *Host) enter(e Entry) {
 	n := h.nodes[e.Server]
 	if n == nil {
-		n = &node{depth: startDepth, latency: h.target() / 2}
+		n = &node{}
 		h.nodes[e.Server] = n
-	} else if e.Boot > n.Boot {
-		n.fails, n.retryAt, n.depth, n.latency = 0, 0, startDepth, h.target()/2
+	}
+	if n.depth == 0 || e.Boot > n.Boot {
+		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, startDepth, h.target()/2, h.target()/4
 	}
 	n.Entry = e
 	h.shardOf(int(e.Cell))
@@ -444,13 +449,14 @@
 func (h *Host) dispatch(s *shard) {
 	n := s.node
 	var head *request
+	h.unpin(n)
 	for i := 0; i < len(s.queue) && n != nil && h.usable(n); {
 		r := s.queue[i]
 		if !h.mayGo(r, n) {
 			i++
 			continue
 		}
-		if len(n.out) > 0 && n.used+r.cost > n.depth {
+		if (n.used > 0 && n.used+r.cost > n.depth) || len(n.out) >= mostDepth {
 			n.limited = true
 			if head == nil {
 				head = r
@@ -473,7 +479,26 @@
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
 func (h *Host) usable(n *node) bool {
-	return n.Status == Ready && (n.fails == 0 || (len(n.out) == 0 && h.now >= n.retryAt))
+	return n.Status == Ready && (n.fails == 0 || (n.used == 0 && h.now >= n.retryAt))
+}
+
+// patience is how long an attempt may be out before it is taken for lost or stuck.
+func (n *node) patience() time.Duration { return n.latency + deviations*n.deviation }
+
+// unpin takes the slots back from attempts that are out for far longer than the node's answers take. It guards
+// against answers that get lost, requests that hang and nodes that hang: without it each of these holds its slots
+// until the client's wait is over, and a few are enough to stop a node's queue. At a node that hangs as a whole it
+// lets a request through now and then, which serves as the trial of whether the node is back.
+func (h *Host) unpin(n *node) {
+	if n == nil {
+		return
+	}
+	for _, r := range n.out {
+		if !r.unpinned && h.now-r.sentAt > n.patience() {
+			r.unpinned = true
+			n.used -= r.cost
+		}
+	}
 }
 
 // mayGo holds the guards that concern one request: its key's turn, its class's repeats, its plan's limit.
@@ -556,7 +581,7 @@
 	}
 	r.shard.vt = max(r.shard.vt, r.start)
 	r.attempts++
-	r.node, r.sentAt = n, h.now
+	r.node, r.sentAt, r.unpinned = n, h.now, false
 	n.out = append(n.out, r)
 	n.used += r.cost
 	n.sent = slices.DeleteFunc(n.sent, func(m mark) bool { return m.at < h.now-h.set.FallWindow })
@@ -636,9 +661,11 @@
 	}
 	n := r.node
 	r.node = nil
-	n.used -= r.cost
+	if !r.unpinned {
+		n.used -= r.cost
+	}
 	n.out = slices.DeleteFunc(n.out, func(q *request) bool { return q == r })
-	h.judge(n, o)
+	h.judge(n, o, r.sentAt)
 	h.settle(r, n, o)
 	if r.ended || o.Ended {
 		h.end(r)
@@ -681,17 +708,21 @@
 	r.vol.finish[s] = max(s.vt, r.vol.finish[s]) + beyond/r.vol.plan.Weight
 }
 
-// judge learns from an outcome how the node is doing.
-func (h *Host) judge(n *node, o Outcome) {
-	switch o.Code {
-	case OK, Error, Full:
-		n.fails = 0
-	case ConnectFailed, Reset, TimedOut:
+// judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that the node
+// answered is newer: else it was that one attempt that got lost, or the client's wait was short.
+func (h *Host) judge(n *node, o Outcome, sentAt time.Duration) {
+	silent := o.Code == TimedOut && n.heardAt <= sentAt && o.Took > n.patience()
+	switch {
+	case o.Code == OK || o.Code == Error || o.Code == Full:
+		n.fails, n.heardAt = 0, h.now
+	case o.Code == ConnectFailed || o.Code == Reset || silent:
 		n.fails++
 		n.retryAt = h.now + min(downMost, downFirst<<min(n.fails-1, doublingsMax))
 	}
-	if o.Code == OK || o.Code == TimedOut {
-		n.latency += time.Duration(learnWeight * float64(o.Took-n.latency))
+	if o.Code == OK || silent {
+		off := o.Took - n.latency
+		n.latency += time.Duration(learnWeight * float64(off))
+		n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
 		h.adapt(n)
 	}
 }
