--- a/control/control.go
+++ b/control/control.go
@@ -310,6 +310,9 @@
 	r := &request{Request: q, class: c, vol: h.volumeOf(q), aimBy: q.Expires}
 	if c.Aim > 0 {
 		r.aimBy = q.Expires - c.span + c.Aim // a client's retry has less time left than a first try
+		if h.set.RetriesAreKnown && !q.Repeat {
+			r.aimBy = h.now + c.Aim // and a first try with little time left comes from a client of short patience
+		}
 	}
 	// A host that has seen nothing but retries yet knows too short a span: never hold beyond the client's wait.
 	r.aimBy = min(r.aimBy, q.Expires-sureMargin)
@@ -456,6 +459,10 @@
 			i++
 			continue
 		}
+		if h.now+h.expect(n) > r.Expires {
+			h.giveUp(r, 0) // no slots for what the client will not wait for
+			continue
+		}
 		if (n.used > 0 && n.used+r.cost > n.depth) || len(n.out) >= mostDepth {
 			n.limited = true
 			if head == nil {
