--- a/control/control.go
+++ b/control/control.go
@@ -744,7 +744,7 @@
 	if h.now-n.adaptedAt < max(n.latency, leastPeriod) || n.latency <= 0 || h.leastAim <= 0 {
 		return
 	}
-	want := n.depth*float64(h.target())/float64(n.latency) + depthGain
+	want := min(n.depth*float64(h.target())/float64(n.latency), n.depth) + depthGain
 	if want < n.depth || n.limited {
 		n.depth = min(mostDepth, max(leastDepth, n.depth+depthStep*(want-n.depth)))
 	}
