--- a/control/control.go
+++ b/control/control.go
@@ -22,7 +22,7 @@
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 1.0  // slots that a node gains each period while its depth holds requests back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
-	nodePart     = 0.15 // part of the shortest aim that a request may spend at its node; the rest is for waiting here
+	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is for waiting here
 	learnWeight  = 0.25 // weight of a new latency against the running mean
 	deviations   = 8    // an attempt this many mean deviations over the mean latency is taken for lost or stuck
 	leastPeriod  = 50 * time.Millisecond
