--- a/control/control.go
+++ b/control/control.go
@@ -598,21 +598,18 @@
 
 // ---- What cannot be served in time ----
 
-// triage looks through what is held in tag order and gives up at once on what would miss its aim behind the work
-// before it: it would only take slots from requests that can still be in time.
+// triage looks through what is held and gives up at once on what would miss its aim even if it left now: it would
+// only take slots from requests that can still be in time.
 func (h *Host) triage(s *shard) {
-	n, ahead := s.node, 0.0
+	n, wait := s.node, time.Duration(0)
+	if n != nil {
+		wait = h.expect(n)
+	}
 	for _, r := range slices.Clone(s.queue) {
-		wait := time.Duration(0)
-		if n != nil {
-			wait = h.expect(n) + time.Duration(ahead/h.rate(n)*float64(time.Second))
-		}
-		if h.now+wait <= r.aimBy && (r.attempts == 0 || n == nil || h.mayRepeat(r, n)) {
-			ahead += r.Units
-			continue
+		if h.now+wait > r.aimBy || (r.attempts > 0 && n != nil && !h.mayRepeat(r, n)) {
+			h.dequeue(r)
+			h.giveUp(r, wait)
 		}
-		h.dequeue(r)
-		h.giveUp(r, wait)
 	}
 }
 
