Slots beyond the depth for volumes that are not ahead of their share

A request that starts no later than the virtual time may now use up to 8 more slots, fewer as latency nears half the aim. Covers any imbalance of surges between hosts.

--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,8 @@
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
 	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is for waiting here
 	learnWeight  = 0.25 // weight of a new latency against the running mean
+	headroom     = 8.0  // slots beyond the depth at an empty node, for volumes that are not ahead of their share
+	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency is taken for lost or stuck
 	leastPeriod  = 50 * time.Millisecond
 	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
@@ -463,7 +465,7 @@
 			h.giveUp(r, 0) // no slots for what the client will not wait for
 			continue
 		}
-		if (n.used > 0 && n.used+r.cost > n.depth) || len(n.out) >= mostDepth {
+		if (n.used > 0 && n.used+r.cost > h.bound(s, r)) || len(n.out) >= mostDepth {
 			n.limited = true
 			if head == nil {
 				head = r
@@ -484,6 +486,18 @@
 	}
 }
 
+// bound is how many slots may be out at the shard's node when a request joins them: the depth, and more for one that
+// starts no later than the virtual time, as its volume has had no more than its share here. A surge that comes
+// through other hosts fills the node to the same depth, and the wait for this host's own few slots must not cost such
+// volumes their service. The extra shrinks to none as the node's latency grows, since it only helps while most of
+// the node's work is not of that kind; it would hurt where a node cannot even serve all shares in time.
+func (h *Host) bound(s *shard, r *request) float64 {
+	if r.start > s.vt || h.leastAim <= 0 {
+		return s.node.depth
+	}
+	return s.node.depth + headroom*max(0, 1-s.node.latency.Seconds()/(headPart*h.leastAim.Seconds()))
+}
+
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
 func (h *Host) usable(n *node) bool {
 	return n.Status == Ready && (n.fails == 0 || (n.used == 0 && h.now >= n.retryAt))
