--- a/control/control.go
+++ b/control/control.go
@@ -20,7 +20,7 @@
 	leastDepth   = 1.0 // one request must always be able to leave, or nothing would be learned
 	mostDepth    = 64.0
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
-	depthGain    = 1.0  // slots that a node gains each period while its depth holds requests back
+	depthGain    = 0.5  // slots that a node gains each period while its depth holds requests back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
 	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is for waiting here
 	learnWeight  = 0.25 // weight of a new latency against the running mean
