--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -1,5 +1,5 @@
-// Command adapter hosts instances of the decision module and speaks the simulator's wire on standard input and
-// output. Instances share nothing.
+// Command adapter hosts instances of the decision module and speaks the simulator's wire on standard input
+// and output. Instances share nothing.
 package main
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"landingpaddle/control"
 	"landingpaddle/internal/wire"
@@ -66,11 +67,19 @@
 		if hosts[id] == nil {
 			continue
 		}
-		for _, a := range hosts[id].Decide(batch.Now) {
-			if err := reply.Add(id, a); err != nil {
-				return nil, err
-			}
+		if err := decide(reply, id, hosts[id], batch.Now); err != nil {
+			return nil, err
 		}
 	}
 	return reply.Bytes(), nil
 }
+
+// decide adds what one instance asks for to the reply.
+func decide(reply *wire.Reply, id uint16, h *control.Host, now time.Duration) error {
+	for _, a := range h.Decide(now) {
+		if err := reply.Add(id, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/control/api.go
+++ b/control/api.go
@@ -168,7 +168,7 @@
 	Code      Code
 	Took      time.Duration
 	Ended     bool    // the request is over and has its answer
-	Metered   int     // 1 + percent of the plan's rate that the volume was served in a past period; 0: unknown
+	Metered   int     // 1 + percent of its plan's rate that the volume was served in a period; 0: unknown
 	Elsewhere float64 // units that the shard served the volume through other hosts since its last answer here
 	Load      []float64
 }
--- a/control/control.go
+++ b/control/control.go
@@ -2,10 +2,10 @@
 
 // The interface of this module (settings, events, actions) is control/api.go; this file makes every decision.
 //
-// A Host is one scheduler. It queues requests per shard and lets them leave for the shard's node by SFQ(D)+: in
-// start-tag order, while the slot cost of what is out at the node stays within its depth, with capped backfill.
-// Around that path stand the guards of the seven rules and the defences, each with a note on when it acts.
-// Events go in by Handle; Decide ends a batch and returns the actions.
+// A Host is one scheduler. It queues requests per shard and lets them leave for the shard's node by
+// SFQ(D)+: in start-tag order, while the slot cost of what is out at the node stays within its depth, with
+// capped backfill. Around that path stand the guards of the seven rules and the defences, each with a note
+// on when it acts. Events go in by Handle; Decide ends a batch and returns the actions.
 
 import (
 	"cmp"
@@ -22,17 +22,17 @@
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 0.5  // slots that a node gains each period while its depth holds requests back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
-	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is for waiting here
+	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is waiting
 	learnWeight  = 0.25 // weight of a new latency against the running mean
-	headroom     = 8.0  // slots beyond the depth at an empty node, for volumes that are not ahead of their share
+	headroom     = 8.0  // slots beyond the depth at an empty node, for volumes not ahead of their share
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
-	deviations   = 8    // an attempt this many mean deviations over the mean latency is taken for lost or stuck
+	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
 	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
 	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
-	downMost     = time.Second           // a node that fails is tried again after downFirst, doubling up to this
-	sureMargin   = 10 * time.Millisecond // two reviews: what must be over by some time is over this much earlier
+	downMost     = time.Second           // a node that fails is tried again after downFirst, doubling to this
+	sureMargin   = 10 * time.Millisecond // two reviews: what must be over by a time is over this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
 	doublingsMax = 10
@@ -182,7 +182,8 @@
 	}
 }
 
-// begin sets the clock; at the first event of a host's life it also opens the watch that an asking site needs.
+// begin sets the clock; at the first event of a host's life it also opens the watch that an asking site
+// needs.
 func (h *Host) begin(now time.Duration) {
 	h.now = now
 	if h.alive {
@@ -194,8 +195,8 @@
 	}
 }
 
-// Decide lets requests leave, gives up on those that cannot be served in time, and returns all actions since the
-// last call.
+// Decide lets requests leave, gives up on those that cannot be served in time, and returns all actions
+// since the last call.
 func (h *Host) Decide(now time.Duration) []Action {
 	h.begin(now)
 	held := false
@@ -230,13 +231,14 @@
 
 // ---- The list of nodes ----
 
-// members follows the list. A failed call does not tell whether a watch still stands, so it is opened again, at a
-// random moment so that the hosts of a whole site do not ask in step.
+// members follows the list. A failed call does not tell whether a watch still stands, so it is opened
+// again, at a random moment so that the hosts of a whole site do not ask in step.
 func (h *Host) members(m Members) {
 	if m.Form == ListFailed {
 		if h.set.Ask && !h.watch {
 			h.watch = true
-			h.act(SetTimer{Token: tokenWatch, After: watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain)))})
+			h.act(SetTimer{Token: tokenWatch,
+				After: watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain)))})
 		}
 		return
 	}
@@ -292,7 +294,10 @@
 }
 
 func (h *Host) shardOf(cell int) *shard {
-	i, ok := slices.BinarySearchFunc(h.shards, cell, func(s *shard, c int) int { return cmp.Compare(s.cell, c) })
+	i, ok := slices.BinarySearchFunc(h.shards, cell, func(s *shard, c int) int {
+		return cmp.Compare(s.cell,
+			c)
+	})
 	if !ok {
 		h.shards = slices.Insert(h.shards, i, &shard{cell: cell})
 	}
@@ -313,10 +318,11 @@
 	if c.Aim > 0 {
 		r.aimBy = q.Expires - c.span + c.Aim // a client's retry has less time left than a first try
 		if h.set.RetriesAreKnown && !q.Repeat {
-			r.aimBy = h.now + c.Aim // and a first try with little time left comes from a client of short patience
+			r.aimBy = h.now + c.Aim // and a first try with little time left is a client of short patience
 		}
 	}
-	// A host that has seen nothing but retries yet knows too short a span: never hold beyond the client's wait.
+	// A host that has seen nothing but retries yet knows too short a span: never hold beyond the client's
+	// wait.
 	r.aimBy = min(r.aimBy, q.Expires-sureMargin)
 	r.Units = max(q.Units, 1)
 	r.cost = c.slots(r.Units)
@@ -350,8 +356,8 @@
 	return cost
 }
 
-// volumeOf finds a volume. Its limit's store starts empty: a host that was killed may have spent it before, and
-// units that other hosts count on must not come twice.
+// volumeOf finds a volume. Its limit's store starts empty: a host that was killed may have spent it before,
+// and units that other hosts count on must not come twice.
 func (h *Host) volumeOf(q Request) *volume {
 	v := h.vols[q.Volume]
 	if v == nil {
@@ -385,8 +391,9 @@
 	return got
 }
 
-// tag gives a request its start tag and moves its volume's finish tag on. Units inside the reserve do not move it,
-// and a request that lies wholly inside starts at the virtual time: the reserve comes first, the share next.
+// tag gives a request its start tag and moves its volume's finish tag on. Units inside the reserve do not
+// move it, and a request that lies wholly inside starts at the virtual time: the reserve comes first, the
+// share next.
 func (h *Host) tag(r *request) {
 	s := r.shard
 	r.covered = h.cover(r.vol, r.Units)
@@ -449,8 +456,8 @@
 
 // ---- The ordinary path ----
 
-// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go does not
-// fit, smaller ones behind it may, until what was promoted past it costs as much as it does.
+// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go
+// does not fit, smaller ones behind it may, until what was promoted past it costs as much as it does.
 func (h *Host) dispatch(s *shard) {
 	n := s.node
 	var head *request
@@ -486,11 +493,12 @@
 	}
 }
 
-// bound is how many slots may be out at the shard's node when a request joins them: the depth, and more for one that
-// starts no later than the virtual time, as its volume has had no more than its share here. A surge that comes
-// through other hosts fills the node to the same depth, and the wait for this host's own few slots must not cost such
-// volumes their service. The extra shrinks to none as the node's latency grows, since it only helps while most of
-// the node's work is not of that kind; it would hurt where a node cannot even serve all shares in time.
+// bound is how many slots may be out at the shard's node when a request joins them: the depth, and more for
+// one that starts no later than the virtual time, as its volume has had no more than its share here. A
+// surge that comes through other hosts fills the node to the same depth, and the wait for this host's own
+// few slots must not cost such volumes their service. The extra shrinks to none as the node's latency
+// grows, since it only helps while most of the node's work is not of that kind; it would hurt where a node
+// cannot even serve all shares in time.
 func (h *Host) bound(s *shard, r *request) float64 {
 	if r.start > s.vt || h.leastAim <= 0 {
 		return s.node.depth
@@ -506,10 +514,11 @@
 // patience is how long an attempt may be out before it is taken for lost or stuck.
 func (n *node) patience() time.Duration { return n.latency + deviations*n.deviation }
 
-// unpin takes the slots back from attempts that are out for far longer than the node's answers take. It guards
-// against answers that get lost, requests that hang and nodes that hang: without it each of these holds its slots
-// until the client's wait is over, and a few are enough to stop a node's queue. At a node that hangs as a whole it
-// lets a request through now and then, which serves as the trial of whether the node is back.
+// unpin takes the slots back from attempts that are out for far longer than the node's answers take. It
+// guards against answers that get lost, requests that hang and nodes that hang: without it each of these
+// holds its slots until the client's wait is over, and a few are enough to stop a node's queue. At a node
+// that hangs as a whole it lets a request through now and then, which serves as the trial of whether the
+// node is back.
 func (h *Host) unpin(n *node) {
 	if n == nil {
 		return
@@ -572,8 +581,9 @@
 	return float64(len(h.extras)+1) <= h.set.BudgetFloor+h.set.BudgetRatio*float64(len(h.taken))
 }
 
-// coldLeft is how many units a node may be sent now. A cold one bears a stated figure in each window over all
-// hosts; this host uses its even part, growing as the node is sure to warm up, reckoned from the window's start.
+// coldLeft is how many units a node may be sent now. A cold one bears a stated figure in each window over
+// all hosts; this host uses its even part, growing as the node is sure to warm up, reckoned from the
+// window's start.
 func (h *Host) coldLeft(n *node) float64 {
 	age := h.now - n.Boot
 	if n.Boot == 0 || h.set.Ramp == 0 || age >= h.set.Ramp+h.set.FallWindow {
@@ -612,8 +622,8 @@
 
 // ---- What cannot be served in time ----
 
-// triage looks through what is held and gives up at once on what would miss its aim even if it left now: it would
-// only take slots from requests that can still be in time.
+// triage looks through what is held and gives up at once on what would miss its aim even if it left now: it
+// would only take slots from requests that can still be in time.
 func (h *Host) triage(s *shard) {
 	n, wait := s.node, time.Duration(0)
 	if n != nil {
@@ -718,16 +728,16 @@
 	}
 }
 
-// elsewhere counts what other hosts sent for a volume as if it had been sent here, so that tags and the reserve
-// follow the volume's total service (as DSFQ does).
+// elsewhere counts what other hosts sent for a volume as if it had been sent here, so that tags and the
+// reserve follow the volume's total service (as DSFQ does).
 func (h *Host) elsewhere(r *request, units float64) {
 	beyond := units - h.cover(r.vol, units)
 	s := r.shard
 	r.vol.finish[s] = max(s.vt, r.vol.finish[s]) + beyond/r.vol.plan.Weight
 }
 
-// judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that the node
-// answered is newer: else it was that one attempt that got lost, or the client's wait was short.
+// judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that
+// the node answered is newer: else it was that one attempt that got lost, or the client's wait was short.
 func (h *Host) judge(n *node, o Outcome, sentAt time.Duration) {
 	silent := o.Code == TimedOut && n.heardAt <= sentAt && o.Took > n.patience()
 	switch {
@@ -748,9 +758,9 @@
 // target is how long a request may be at its node.
 func (h *Host) target() time.Duration { return time.Duration(nodePart * float64(h.leastAim)) }
 
-// adapt learns the depth at which a request's time at the node meets the target, so that waiting happens here, in
-// tag order, and not in the node's own queue. Each host that does so gets a like part of the node. It acts always;
-// depth grows only while it holds requests back.
+// adapt learns the depth at which a request's time at the node meets the target, so that waiting happens
+// here, in tag order, and not in the node's own queue. Each host that does so gets a like part of the node.
+// It acts always; depth grows only while it holds requests back.
 func (h *Host) adapt(n *node) {
 	if h.now-n.adaptedAt < max(n.latency, leastPeriod) || n.latency <= 0 || h.leastAim <= 0 {
 		return
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,568 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings are those of a small site: one safe class, one plan without reserve or limit.
+func settings() Settings {
+	return Settings{Hosts: 1, MaxAttempts: 3, RetryAfter: true, MaxRetryAfter: time.Second, MeanUnits: 2,
+		MostUnits: 8,
+		Classes:   []Class{{Aim: time.Second, Deadline: 4 * time.Second, Worth: 1}},
+		Plans:     []Plan{{Rate: 10, Weight: 1}}}
+}
+
+func server(i int) Server { return Server{Addr: [4]byte{10, 0, 0, byte(i)}, Port: 1} }
+
+func entry(i int, st Status) Entry { return Entry{Server: server(i), Status: st, Cell: uint16(i)} }
+
+// rig drives one host and keeps what it asked for.
+type rig struct {
+	t    *testing.T
+	h    *Host
+	now  time.Duration
+	id   uint32
+	acts []Action
+}
+
+// start makes a host with ready nodes for cells 0 to n-1.
+func start(t *testing.T, set Settings, n int) *rig {
+	r := &rig{t: t, h: New(1, set), now: time.Hour}
+	m := Members{Form: ListCached}
+	for i := range n {
+		m.Entries = append(m.Entries, entry(i, Ready))
+	}
+	r.do(m)
+	return r
+}
+
+// do hands events in and decides.
+func (r *rig) do(evs ...Event) []Action {
+	for _, e := range evs {
+		r.h.Handle(r.now, e)
+	}
+	acts := r.h.Decide(r.now)
+	r.acts = append(r.acts, acts...)
+	return acts
+}
+
+func (r *rig) pass(d time.Duration) []Action { r.now += d; return r.do(Timer{Token: tokenReview}) }
+
+// ask makes a request with sensible defaults.
+func (r *rig) ask(change func(*Request)) Request {
+	r.id++
+	q := Request{ID: r.id, Writers: 1, Volume: 1, Units: 1, Expires: r.now + 4*time.Second}
+	if change != nil {
+		change(&q)
+	}
+	return q
+}
+
+func (r *rig) done(id uint32, attempt, node int, code Code, took time.Duration) []Action {
+	return r.do(Outcome{ID: id, Attempt: attempt, Server: server(node), Code: code, Took: took,
+		Ended: code == OK})
+}
+
+func sends(acts []Action) (ids []uint32) {
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// ends lists final answers as "refuse 3" or "fail 3".
+func ends(acts []Action) (out []string) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Refuse:
+			out = append(out, fmt.Sprint("refuse ", a.ID))
+		case Fail:
+			out = append(out, fmt.Sprint("fail ", a.ID))
+		}
+	}
+	return out
+}
+
+func want[T comparable](t *testing.T, what string, got []T, want ...T) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// fix pins the depth of node 0, so that a test speaks of the queue alone.
+func (r *rig) fix(depth float64) *node {
+	n := r.h.nodes[server(0)]
+	n.depth, n.latency, n.deviation, n.adaptedAt = depth, r.h.leastAim, time.Hour, math.MaxInt64
+	return n
+}
+
+// ---- SFQ(D)+ ----
+
+func TestSharesFollowWeightsUnderBacklog(t *testing.T) {
+	set := settings()
+	set.Plans = append(set.Plans, Plan{Weight: 3})
+	set.Classes[0].Aim = 100 * time.Second
+	r := start(t, set, 1)
+	r.fix(1)
+	var evs []Event
+	for range 40 {
+		for v := range 2 {
+			evs = append(evs, r.ask(func(q *Request) {
+				q.Volume, q.Plan, q.Expires = uint64(v), v, r.now+200*time.Second
+			}))
+		}
+	}
+	r.do(evs...)
+	count := map[uint64]int{}
+	for range 40 {
+		for id, q := range r.h.reqs {
+			if q.node != nil {
+				count[q.Volume]++
+				r.done(id, 0, 0, OK, ms)
+				break
+			}
+		}
+	}
+	if count[1] != 30 || count[0] != 10 {
+		t.Errorf("of 40 served, weight 1 got %d and weight 3 got %d; want 10 and 30", count[0], count[1])
+	}
+}
+
+func TestTagsByHand(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.fix(1)
+	r.do(r.ask(func(q *Request) { q.Units = 4 }), r.ask(func(q *Request) { q.Units = 2 }),
+		r.ask(func(q *Request) { q.Volume = 2 }))
+	s := r.h.shards[0]
+	var tags []float64
+	for id := uint32(1); id <= 3; id++ {
+		tags = append(tags, r.h.reqs[id].start)
+	}
+	want(t, "start tags", tags, 0, 4, 0)
+	want(t, "finish tags", []float64{r.h.vols[1].finish[s], r.h.vols[2].finish[s]}, 6, 1)
+	r.done(1, 0, 0, OK, ms)
+	r.done(3, 0, 0, OK, ms)
+	want(t, "virtual time is the start tag of the last one sent", []float64{s.vt}, 4)
+}
+
+func TestIdleVolumeEarnsNoCredit(t *testing.T) {
+	r := start(t, settings(), 1)
+	s := r.h.shards[0]
+	s.vt = 50
+	r.do(r.ask(nil))
+	want(t, "start and finish", []float64{r.h.reqs[1].start, r.h.vols[1].finish[s]}, 50, 51)
+}
+
+func TestSlotCost(t *testing.T) {
+	c := &class{}
+	var costs []float64
+	for _, units := range []float64{2, 2, 6, 1, 40} { // running means before each: none, 2, 2, 10/3, 11/4
+		costs = append(costs, c.slots(units))
+	}
+	want(t, "slot costs", costs, 1, 1, 3, 1, 4)
+}
+
+func TestSlotBoundAndBackfill(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim = 100 * time.Second
+	r := start(t, set, 1)
+	r.fix(4)
+	r.h.classes[0].mean, r.h.classes[0].seen = 1, 1e9
+	add := func(vol uint64, units float64) Event {
+		return r.ask(func(q *Request) { q.Volume, q.Units, q.Expires = vol, units, r.now+200*time.Second })
+	}
+	r.h.shards[0].vt = 1
+	got := r.do(add(1, 3), add(2, 3), add(3, 1))
+	want(t, "3 slots of 4 leave room for 1: the small one passes the head", sends(got), 1, 3)
+	got = r.do(add(4, 1), add(5, 1))
+	want(t, "nothing more fits", sends(got))
+	want(t, "two more small ones pass, then the head's cost is reached", sends(r.done(3, 0, 0, OK, ms)), 4)
+	want(t, "second", sends(r.done(4, 0, 0, OK, ms)), 5)
+	r.do(add(6, 1))
+	want(t, "third is not promoted", sends(r.done(5, 0, 0, OK, ms)))
+	want(t, "head and the next leave when it fits", sends(r.done(1, 0, 0, OK, ms)), 2, 6)
+}
+
+func TestReserveDoesNotMoveTheTag(t *testing.T) {
+	set := settings()
+	set.Plans[0].Reserve = 2
+	r := start(t, set, 1)
+	r.do(r.ask(func(q *Request) { q.Units = 8 }), r.ask(func(q *Request) { q.Units = 3 }))
+	// The store holds a second of 2 units and one largest request of 8: 10 in all, so 1 of the 11 is beyond
+	// it.
+	want(t, "finish tag", []float64{r.h.vols[1].finish[r.h.shards[0]]}, 1)
+}
+
+func TestElsewhereMovesTheTag(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(r.ask(nil))
+	r.do(Outcome{ID: 1, Server: server(0), Code: OK, Took: ms, Ended: true, Elsewhere: 5})
+	want(t, "finish tag counts service through other hosts", []float64{r.h.vols[1].finish[r.h.shards[0]]}, 6)
+}
+
+func TestHeadroomIsForVolumesNotAhead(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.fix(1).latency = 0
+	var evs []Event
+	for range 4 {
+		evs = append(evs, r.ask(nil))
+	}
+	evs = append(evs, r.ask(func(q *Request) { q.Volume = 2 }))
+	want(t, "one of the surge, one of the other", sends(r.do(evs...)), 1, 5)
+}
+
+func TestDepthLearnsFromLatency(t *testing.T) {
+	r := start(t, settings(), 1)
+	n := r.h.nodes[server(0)]
+	for range 30 {
+		r.now += time.Second
+		r.do(r.ask(nil))
+		r.done(r.id, 0, 0, OK, 900*ms)
+	}
+	if n.depth > 1.01 {
+		t.Errorf("depth is %v at a node far over the target", n.depth)
+	}
+}
+
+// ---- Rules ----
+
+func TestEveryRequestGetsOneAnswerInTime(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(Members{Form: ListFull}) // no node at all
+	for range 20 {
+		r.do(r.ask(nil))
+		r.pass(100 * ms)
+	}
+	for range 400 {
+		r.pass(10 * ms)
+	}
+	if got := ends(r.acts); len(got) != 20 || len(r.h.reqs) != 0 {
+		t.Errorf("%d answers for 20 requests, %d still known", len(got), len(r.h.reqs))
+	}
+}
+
+// A host just restarted may see only retries, whose wait is short; it must not hold them beyond that wait.
+func TestHoldsNoRetryBeyondItsWait(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(Members{Form: ListFull})
+	r.do(r.ask(func(q *Request) { q.Expires = r.now + 200*ms }))
+	for range 19 {
+		r.pass(10 * ms)
+	}
+	r.pass(5 * ms)
+	want(t, "answered", ends(r.acts), "refuse 1")
+}
+
+func TestNoSendAfterTheClientLeft(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.fix(1)
+	r.do(r.ask(nil), r.ask(func(q *Request) { q.Units = 8 }))
+	r.do(Left{ID: 2}, Left{ID: 99})
+	want(t, "sent", sends(r.done(1, 0, 0, OK, ms)))
+	r.done(1, 0, 0, OK, ms) // an outcome for an ended request
+	r.do(Left{ID: 1})       // a late one
+}
+
+func TestTimeOutAtTheDeadlineIsAnswered(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(r.ask(nil))
+	r.now += 4 * time.Second
+	want(t, "answer", ends(r.done(1, 0, 0, TimedOut, 4*time.Second)), "refuse 1")
+}
+
+func TestEffects(t *testing.T) {
+	keyed := Class{Aim: time.Second, Deadline: 4 * time.Second, Repeat: Keyed, Group: GroupCell,
+		Window: 500 * ms}
+	all := keyed
+	all.Group = GroupAll
+	unsafe := Class{Aim: time.Second, Deadline: 4 * time.Second, Repeat: Unsafe}
+	for _, c := range []struct {
+		name  string
+		class Class
+		code  Code
+		after time.Duration
+		again int
+		end   string
+	}{
+		{"safe, reset", settings().Classes[0], Reset, 100 * ms, 1, ""},
+		{"unsafe, may have run", unsafe, Reset, 100 * ms, 0, "fail 1"},
+		{"unsafe, never ran", unsafe, Full, 100 * ms, 1, ""},
+		{"keyed in its window", keyed, Error, 100 * ms, 1, ""},
+		{"keyed past its window", keyed, Error, 600 * ms, 0, "fail 1"},
+		{"keyed by all past its window", all, Error, 600 * ms, 0, "refuse 1"},
+		{"keyed, never ran", keyed, Full, 600 * ms, 1, ""},
+	} {
+		set := settings()
+		set.Classes[0] = c.class
+		r := start(t, set, 1)
+		r.do(r.ask(nil))
+		r.now += c.after
+		acts := r.done(1, 0, 0, c.code, ms)
+		acts = append(acts, r.pass(downFirst)...)
+		got := append(ends(acts), "")
+		if len(sends(acts)) != c.again || got[0] != c.end {
+			t.Errorf("%s: %d further attempts and %q; want %d and %q", c.name, len(sends(acts)), got[0],
+				c.again, c.end)
+		}
+	}
+}
+
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	set := settings()
+	set.Classes[0].Repeat, set.Classes[0].Group, set.Classes[0].Window = Keyed, GroupZone, time.Minute
+	r := start(t, set, 2)
+	q := &request{class: r.h.classes[0], attempts: 1, ranAt: &node{Entry: Entry{Zone: 1}}}
+	n := r.h.nodes[server(0)]
+	r.h.now = r.now
+	q.ranFrom = r.now
+	if r.h.mayRepeat(q, n) {
+		t.Error("sent again outside its zone")
+	}
+	n.Zone = 1
+	if !r.h.mayRepeat(q, n) {
+		t.Error("not sent again inside its zone")
+	}
+}
+
+func TestDrainingAndGoneNodesGetNothing(t *testing.T) {
+	for _, st := range []Status{Draining, Gone} {
+		r := start(t, settings(), 1)
+		r.do(Members{Form: ListDelta, Entries: []Entry{entry(0, st)}})
+		want(t, "sent", sends(r.do(r.ask(nil))))
+		r.do(Members{Form: ListDelta, Entries: []Entry{{Server: server(7), Status: Ready, Cell: 0}}})
+		want(t, "the node in its place serves the shard", sends(r.acts), 1)
+	}
+	r := start(t, settings(), 1)
+	r.do(Members{Form: ListFull})
+	want(t, "left out of a full list", sends(r.do(r.ask(nil))))
+}
+
+func TestWatchIsOpenedAndReopened(t *testing.T) {
+	set := settings()
+	set.Ask = true
+	r := start(t, set, 1)
+	if !slices.Contains(r.acts, Action(Watch{On: true})) {
+		t.Fatalf("no watch at the start: %v", r.acts)
+	}
+	acts := r.do(Members{Form: ListFailed}, Members{Form: ListFailed})
+	timers := 0
+	for _, a := range acts {
+		if s, ok := a.(SetTimer); ok && s.Token == tokenWatch {
+			timers++
+		}
+	}
+	if timers != 1 {
+		t.Errorf("%d timers for a new watch, want 1", timers)
+	}
+	want(t, "asked again", r.do(Timer{Token: tokenWatch}), Action(Watch{On: true}))
+}
+
+func coldSettings() Settings {
+	set := settings()
+	set.Hosts, set.ColdUnits, set.ColdShare, set.Ramp, set.FallWindow = 2, 20, 0.25, 10*time.Second,
+		time.Second
+	return set
+}
+
+func TestColdNodeGetsThisHostsPart(t *testing.T) {
+	r := start(t, coldSettings(), 0)
+	r.do(Members{Form: ListFull, Entries: []Entry{{Server: server(0), Status: Ready, Boot: r.now}}})
+	r.fix(64)
+	var evs []Event
+	for range 15 {
+		evs = append(evs, r.ask(nil))
+	}
+	if got := len(sends(r.do(evs...))); got != 10 {
+		t.Errorf("%d units in the first window, want 20 for 2 hosts = 10", got)
+	}
+	n := r.h.nodes[server(0)]
+	r.h.now += 6 * time.Second // the window then starts 5 s after the boot: a quarter and half of the rest
+	if got := r.h.coldLeft(n); got != 25 {
+		t.Errorf("later it bears %v, want 10 x 0.625 / 0.25 = 25", got)
+	}
+	r.h.now += 6 * time.Second
+	if got := r.h.coldLeft(n); !math.IsInf(got, 1) {
+		t.Errorf("warm, it bears %v", got)
+	}
+}
+
+func limitSettings() Settings {
+	set := settings()
+	set.Plans[0].Limit, set.Plans[0].Burst = 10, 40
+	return set
+}
+
+func TestLimitIsSharedEvenlyAndStartsEmpty(t *testing.T) {
+	r := start(t, limitSettings(), 1)
+	q := func() Event { return r.ask(func(q *Request) { q.Writers, q.Units = 2, 4 }) }
+	want(t, "nothing at the start: it may have been spent before", sends(r.do(q())))
+	want(t, "10 a second for 2 hosts fill 4 units in 0.8 s", sends(r.pass(790*ms)))
+	want(t, "then it leaves", sends(r.pass(10*ms)), 1)
+	r.done(1, 0, 0, OK, 10*ms)
+	r.now += time.Minute
+	var evs []Event
+	for range 8 {
+		evs = append(evs, q())
+	}
+	if got := len(sends(r.do(evs...))); got != 5 {
+		t.Errorf("%d of 4 units at once, want 5: 40 for 2 hosts", got)
+	}
+}
+
+func TestFurtherAttemptTakesNoMoreFromTheLimit(t *testing.T) {
+	r := start(t, limitSettings(), 1)
+	r.now += time.Second
+	r.do(r.ask(nil))
+	r.done(1, 0, 0, Error, ms)
+	if got := r.h.vols[1].limit.level; got != 9 {
+		t.Errorf("the store holds %v after two attempts of one request, want 9", got)
+	}
+}
+
+func TestOrderByKey(t *testing.T) {
+	set := settings()
+	set.Classes[0].InOrder, set.OrderPause = true, 100*ms
+	r := start(t, set, 1)
+	key := func(q *Request) { q.Key = 5 }
+	want(t, "one at a time", sends(r.do(r.ask(key), r.ask(key), r.ask(key), r.ask(nil))), 1, 4)
+	want(t, "the next after its end", sends(r.done(1, 0, 0, OK, ms)), 2)
+	r.do(Left{ID: 2})
+	want(t, "not while an attempt has no outcome", sends(r.pass(10*ms)))
+	r.do(Outcome{ID: 2, Server: server(0), Code: TimedOut, Took: 20 * ms, Ended: true})
+	want(t, "the key rests", sends(r.pass(95*ms)))
+	want(t, "then goes on", sends(r.pass(5*ms)), 3)
+}
+
+func TestBudgetOfFurtherAttempts(t *testing.T) {
+	set := settings()
+	set.Budget, set.BudgetFloor, set.BudgetRatio, set.BudgetWindow = true, 1, 0.5, time.Second
+	r := start(t, set, 1)
+	r.do(r.ask(nil), r.ask(nil), r.ask(nil), r.ask(nil))
+	for id := uint32(1); id <= 4; id++ {
+		r.done(id, 0, 0, Error, ms)
+	}
+	if got := len(sends(r.acts)) - 4; got != 3 {
+		t.Errorf("%d further attempts, want 1 + 0.5 x 4 = 3", got)
+	}
+}
+
+// ---- Defences ----
+
+// Answers that never come must not hold slots until the client's wait is over.
+func TestLostAnswersGiveTheirSlotsBack(t *testing.T) {
+	r := start(t, settings(), 1)
+	n := r.fix(1)
+	n.latency, n.deviation = 600*ms, 10*ms
+	r.do(r.ask(nil), r.ask(nil))
+	want(t, "held while the first may still answer", sends(r.pass(300*ms)))
+	want(t, "the next leaves once the first is taken for lost", sends(r.pass(390*ms)), 2)
+}
+
+// One lost answer among many is no sick node.
+func TestOneTimeOutIsNoSickNode(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(r.ask(nil), r.ask(nil))
+	r.now += 10 * ms
+	r.done(2, 0, 0, OK, 10*ms)
+	r.now += 4 * time.Second
+	r.done(1, 0, 0, TimedOut, 4*time.Second)
+	if n := r.h.nodes[server(0)]; n.fails != 0 || n.latency > time.Second {
+		t.Errorf("fails %d, latency %v", n.fails, n.latency)
+	}
+}
+
+func TestNodeThatCannotBeReachedIsTriedNowAndThen(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(r.ask(nil), r.ask(nil))
+	r.done(1, 0, 0, ConnectFailed, 250*ms)
+	r.done(2, 0, 0, ConnectFailed, 250*ms)
+	if got := len(sends(r.pass(2 * downFirst))); got != 1 {
+		t.Errorf("%d at once to a node that fails, want 1", got)
+	}
+}
+
+func TestNoSlotsForWhatTheClientWillNotWaitFor(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.fix(8).latency = 100 * ms
+	want(t, "refused at once", ends(r.do(r.ask(func(q *Request) { q.Expires = r.now + 50*ms }))), "refuse 1")
+}
+
+func TestNewObjectGoesWhereTheLeastWorkIs(t *testing.T) {
+	r := start(t, settings(), 3)
+	r.h.nodes[server(0)].latency = 300 * ms
+	r.h.nodes[server(2)].fails = 1
+	acts := r.do(r.ask(func(q *Request) { q.Cell = NewObject }))
+	for _, a := range acts {
+		if s, ok := a.(Send); ok && s.Server != server(1) {
+			t.Errorf("sent to %v", s.Server)
+		}
+	}
+	want(t, "sent", sends(acts), 1)
+}
+
+// ---- Odd input ----
+
+func TestOddSettingsAndRequests(t *testing.T) {
+	for name, set := range map[string]Settings{
+		"nothing":  {},
+		"no plans": {Classes: settings().Classes, MaxAttempts: 1},
+		"zero plan": {Classes: settings().Classes, MaxAttempts: 1, Plans: []Plan{{Reserve: 1, Limit: 1}},
+			Ramp: time.Second},
+		"class without times": {Classes: []Class{{InOrder: true}}, Plans: []Plan{{}}, MaxAttempts: 1},
+	} {
+		r := start(t, set, 1)
+		var evs []Event
+		for _, cell := range []int{0, 5, NewObject} {
+			for _, units := range []float64{0, 1, 1000} {
+				for _, left := range []time.Duration{-1, 0, ms, time.Second} {
+					evs = append(evs, r.ask(func(q *Request) {
+						q.Cell, q.Units, q.Expires, q.Key, q.Writers, q.Plan = cell, units, r.now+left, 1,
+							0, cell+1
+					}))
+				}
+			}
+		}
+		r.do(evs...)
+		r.do(Members{Form: ListFull}, Outcome{ID: 77}, Probed{}, Peer{}, First{}, Timer{Token: 9})
+		for range 300 {
+			r.pass(10 * ms)
+		}
+		if got, sent := len(ends(r.acts)), len(sends(r.acts)); got+sent < len(evs) {
+			t.Errorf("%s: %d answers and %d sends for %d requests", name, got, sent, len(evs))
+		}
+	}
+	r := start(t, settings(), 0)
+	want(t, "a new object and no node", ends(r.do(r.ask(func(q *Request) { q.Cell = NewObject }))),
+		"refuse 1")
+	want(t, "an unknown class", ends(r.do(r.ask(func(q *Request) { q.Class = 9 }))), "refuse 2")
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() string {
+		r := start(t, settings(), 5)
+		for i := range 200 {
+			r.now += 3 * ms
+			r.do(r.ask(func(q *Request) { q.Cell, q.Volume, q.Units = i%6-1, uint64(i%7), float64(1+i%4) }))
+			if i%3 == 0 {
+				for _, id := range []uint32{r.id, r.id / 2} {
+					if q := r.h.reqs[id]; q != nil && q.node != nil {
+						r.done(id, 0, int(q.node.Cell), OK, time.Duration(i)*ms)
+					}
+				}
+			}
+		}
+		return fmt.Sprint(r.acts)
+	}
+	if run() != run() {
+		t.Error("two runs differ")
+	}
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -1,5 +1,5 @@
-// Package wire speaks the simulator's binary protocol: it reads batches of events, parses an instance's settings
-// and writes replies. It holds no decisions.
+// Package wire speaks the simulator's binary protocol: it reads batches of events, parses an instance's
+// settings and writes replies. It holds no decisions.
 package wire
 
 import (
@@ -145,7 +145,8 @@
 	case codeTimer:
 		rec.Event = control.Timer{Token: d.u32()}
 	case codeProbed:
-		rec.Event = control.Probed{Server: d.server(), Code: control.Code(d.u16()), Took: d.span(), Load: d.load()}
+		rec.Event = control.Probed{Server: d.server(), Code: control.Code(d.u16()), Took: d.span(),
+			Load: d.load()}
 	case codePeer:
 		rec.Event = control.Peer{From: d.u32(), Body: d.take(int64(d.u16()))}
 	case codeStop:
@@ -261,7 +262,8 @@
 
 func (d *decoder) outcome() control.Outcome {
 	return control.Outcome{ID: d.u32(), Attempt: int(d.u8()), Server: d.server(), Code: control.Code(d.u16()),
-		Took: d.span(), Ended: d.u8() != 0, Metered: int(d.u16()), Elsewhere: float64(d.u16()), Load: d.load()}
+		Took: d.span(), Ended: d.u8() != 0, Metered: int(d.u16()), Elsewhere: float64(d.u16()),
+		Load: d.load()}
 }
 
 // Reply gathers the actions of one batch into a frame.
