A node that turns away or errs is tried one request at a time; headroom is a part of 32 over all hosts

Kept for what they cover: fast failures of any kind that attract work, and fleets of many hosts. May hurt where single errors are common: each costs a node one pause of 50 ms at most.

--- a/control/control.go
+++ b/control/control.go
@@ -24,7 +24,7 @@
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
 	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is waiting
 	learnWeight  = 0.25 // weight of a new latency against the running mean
-	headroom     = 8.0  // slots beyond the depth at an empty node, for volumes not ahead of their share
+	headroom     = 32.0 // slots beyond the depth at an empty node over all hosts, for volumes not ahead
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
@@ -503,7 +503,7 @@
 	if r.start > s.vt || h.leastAim <= 0 {
 		return s.node.depth
 	}
-	return s.node.depth + headroom*max(0, 1-s.node.latency.Seconds()/(headPart*h.leastAim.Seconds()))
+	return s.node.depth + headroom/float64(max(h.set.Hosts, 1))*max(0, 1-s.node.latency.Seconds()/(headPart*h.leastAim.Seconds()))
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
@@ -741,9 +741,9 @@
 func (h *Host) judge(n *node, o Outcome, sentAt time.Duration) {
 	silent := o.Code == TimedOut && n.heardAt <= sentAt && o.Took > n.patience()
 	switch {
-	case o.Code == OK || o.Code == Error || o.Code == Full:
+	case o.Code == OK:
 		n.fails, n.heardAt = 0, h.now
-	case o.Code == ConnectFailed || o.Code == Reset || silent:
+	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || o.Code == Error || silent:
 		n.fails++
 		n.retryAt = h.now + min(downMost, downFirst<<min(n.fails-1, doublingsMax))
 	}
