--- a/control/control.go
+++ b/control/control.go
@@ -17,10 +17,10 @@
 
 const (
 	startDepth   = 8.0 // slots at a node of which nothing is known yet; the design's value
-	leastDepth   = 1.0 // one request must always be able to leave, or nothing would be learned
+	leastSlots   = 4.0 // all hosts together may have this many out at a node; one host never needs over one
 	mostDepth    = 64.0
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
-	depthGain    = 0.5  // slots that a node gains each period while its depth holds requests back
+	depthGain    = 3.0  // slots that all hosts together gain in a period while their depths hold back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
 	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is waiting
 	learnWeight  = 0.25 // weight of a new latency against the running mean
@@ -217,6 +217,9 @@
 	return acts
 }
 
+// part is this host's even part of what all hosts together may have.
+func (h *Host) part(whole float64) float64 { return whole / float64(max(h.set.Hosts, 1)) }
+
 func (h *Host) act(a Action) { h.acts = append(h.acts, a) }
 
 func (h *Host) timer(t Timer) {
@@ -472,7 +475,8 @@
 			h.giveUp(r, 0) // no slots for what the client will not wait for
 			continue
 		}
-		if (n.used > 0 && n.used+r.cost > h.bound(s, r)) || len(n.out) >= mostDepth {
+		if bound := h.bound(s, r); (n.used > 0 && n.used+r.cost > bound) ||
+			(r.start > s.vt && h.paced(n, bound)) || len(n.out) >= mostDepth {
 			n.limited = true
 			if head == nil {
 				head = r
@@ -503,7 +507,8 @@
 	if r.start > s.vt || h.leastAim <= 0 {
 		return s.node.depth
 	}
-	return s.node.depth + headroom/float64(max(h.set.Hosts, 1))*max(0, 1-s.node.latency.Seconds()/(headPart*h.leastAim.Seconds()))
+	free := 1 - s.node.latency.Seconds()/(headPart*h.leastAim.Seconds())
+	return s.node.depth + h.part(headroom)*max(0, free)
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
@@ -511,6 +516,13 @@
 	return n.Status == Ready && (n.fails == 0 || (n.used == 0 && h.now >= n.retryAt))
 }
 
+// paced tells whether a bound under one slot holds the next send back: the last send's slot then counts for
+// longer than its attempt is out.
+func (h *Host) paced(n *node, bound float64) bool {
+	return bound < 1 && len(n.sent) > 0 &&
+		h.now-n.sent[len(n.sent)-1].at < time.Duration(float64(n.latency)/bound)
+}
+
 // patience is how long an attempt may be out before it is taken for lost or stuck.
 func (n *node) patience() time.Duration { return n.latency + deviations*n.deviation }
 
@@ -589,7 +601,7 @@
 	if n.Boot == 0 || h.set.Ramp == 0 || age >= h.set.Ramp+h.set.FallWindow {
 		return math.Inf(1)
 	}
-	part := h.set.ColdUnits / float64(max(h.set.Hosts, 1))
+	part := h.part(h.set.ColdUnits)
 	if since := age - h.set.FallWindow; since > 0 && h.set.ColdShare > 0 {
 		part *= 1 + (1/h.set.ColdShare-1)*since.Seconds()/h.set.Ramp.Seconds()
 	}
@@ -765,13 +777,17 @@
 	if h.now-n.adaptedAt < max(n.latency, leastPeriod) || n.latency <= 0 || h.leastAim <= 0 {
 		return
 	}
-	want := min(n.depth*float64(h.target())/float64(n.latency), n.depth) + depthGain
+	want := min(n.depth*float64(h.target())/float64(n.latency), n.depth) + h.part(depthGain)
 	if want < n.depth || n.limited {
-		n.depth = min(mostDepth, max(leastDepth, n.depth+depthStep*(want-n.depth)))
+		n.depth = min(mostDepth, max(h.leastDepth(), n.depth+depthStep*(want-n.depth)))
 	}
 	n.limited, n.adaptedAt = false, h.now
 }
 
+// leastDepth is what a depth falls to. One request of each host must be able to leave, but where many hosts
+// share the nodes that alone may be more than a node can serve in time: each then paces its sends.
+func (h *Host) leastDepth() float64 { return min(1, h.part(leastSlots)) }
+
 // expect is how long a request sent now will take at the node.
 func (h *Host) expect(n *node) time.Duration { return n.latency }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -566,3 +566,35 @@
 		t.Error("two runs differ")
 	}
 }
+
+// Nodes that turn work away at once answer fastest; without a guard they would attract the most.
+func TestFastRefusalsDoNotAttract(t *testing.T) {
+	r := start(t, settings(), 2)
+	r.do(r.ask(func(q *Request) { q.Cell = NewObject }))
+	first := r.h.reqs[1].node
+	acts := r.done(1, 0, int(first.Cell), Full, 3*ms)
+	for _, a := range acts {
+		if s, ok := a.(Send); ok && s.Server == first.Server {
+			t.Error("sent again to the node that turned it away")
+		}
+	}
+	want(t, "sent elsewhere", sends(acts), 1)
+}
+
+// Where one request of each host is more than a node can serve in time, hosts pace what is past the virtual
+// time.
+func TestManyHostsPaceTheirSends(t *testing.T) {
+	set := settings()
+	set.Hosts = 16
+	r := start(t, set, 1)
+	n := r.fix(r.h.leastDepth())
+	n.latency = 500 * ms
+	want(t, "least depth is a quarter of a slot", []float64{n.depth}, 0.25)
+	set.Hosts = 2
+	want(t, "and one slot where hosts are few", []float64{New(1, set).leastDepth()}, 1)
+	r.h.shards[0].vt = 1
+	r.do(r.ask(nil), r.ask(nil))
+	r.now += 400 * ms
+	want(t, "the next of a volume ahead waits four latencies", sends(r.done(1, 0, 0, OK, 400*ms)))
+	want(t, "one that is not ahead does not", sends(r.do(r.ask(func(q *Request) { q.Volume = 2 }))), 3)
+}
