Start depth is a part of 32 slots over all hosts; an error is an answer again

Cause, first: twelve hosts with 8 slots each at the start bury nodes of one core; 6% of the clients give up in the first 5 s. Two changes, measured apart.

--- a/control/control.go
+++ b/control/control.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	startDepth   = 8.0 // slots at a node of which nothing is known yet; the design's value
-	leastSlots   = 4.0 // all hosts together may have this many out at a node; one host never needs over one
+	startDepth   = 8.0  // slots at a node of which nothing is known yet; the design's value
+	startSlots   = 32.0 // but no more than a part of this over all hosts
+	leastSlots   = 4.0  // all hosts together may have this many out at a node; one host never needs over one
 	mostDepth    = 64.0
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 3.0  // slots that all hosts together gain in a period while their depths hold back
@@ -270,7 +271,8 @@
 		h.nodes[e.Server] = n
 	}
 	if n.depth == 0 || e.Boot > n.Boot {
-		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, startDepth, h.target()/2, h.target()/4
+		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, min(startDepth, h.part(startSlots)),
+			h.target()/2, h.target()/4
 	}
 	n.Entry = e
 	h.shardOf(int(e.Cell))
@@ -753,9 +755,9 @@
 func (h *Host) judge(n *node, o Outcome, sentAt time.Duration) {
 	silent := o.Code == TimedOut && n.heardAt <= sentAt && o.Took > n.patience()
 	switch {
-	case o.Code == OK:
+	case o.Code == OK || o.Code == Error:
 		n.fails, n.heardAt = 0, h.now
-	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || o.Code == Error || silent:
+	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || silent:
 		n.fails++
 		n.retryAt = h.now + min(downMost, downFirst<<min(n.fails-1, doublingsMax))
 	}
