Cold nodes: what is served counts less, and one request a window where a part is less than one

Now what the node has served counts by the rule's multiple less, and one request may go in a window in which none went. All hosts together then send at most the stated figure and (1 - 1/multiple) of what the node can serve in a window, under the multiple that the rule allows. May hurt where much of what a cold node serves comes from hosts that do not count, or where work a unit grows suddenly.

--- a/control/control.go
+++ b/control/control.go
@@ -104,6 +104,7 @@
 
 // mark is a send that a cold node's budget remembers.
 type mark struct {
+	id    uint32
 	at    time.Duration
 	units float64
 }
@@ -449,7 +450,7 @@
 	least := math.Inf(1)
 	for _, s := range h.shards {
 		wait := math.MaxFloat64
-		if n := s.node; n != nil && n.fails == 0 && h.coldLeft(n) >= r.Units {
+		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
 			wait = (h.expect(n) * time.Duration(1+len(n.out))).Seconds() + s.units/h.rate(n)
 		}
 		if wait < least {
@@ -491,8 +492,9 @@
 				return
 			}
 		}
-		if h.coldLeft(n) < r.Units {
-			return
+		if !h.bears(n, r.Units) {
+			i++
+			continue
 		}
 		h.dequeue(r)
 		h.send(r, n)
@@ -595,24 +597,37 @@
 	return float64(len(h.extras)+1) <= h.set.BudgetFloor+h.set.BudgetRatio*float64(len(h.taken))
 }
 
-// coldLeft is how many units a node may be sent now. A cold one bears a stated figure in each window over
-// all hosts; this host uses its even part, growing as the node is sure to warm up, reckoned from the
-// window's start.
-func (h *Host) coldLeft(n *node) float64 {
+// bears tells whether a node may be sent so many units more now. A cold one bears a stated figure in each
+// window over all hosts; this host uses its even part, growing as the node is sure to warm up, reckoned
+// from the window's start. Where hosts are so many that the part is less than a request, one request may go
+// in a window in which none went, up to the multiple that the rule allows: else a cold node's shard would
+// not be served at all.
+func (h *Host) bears(n *node, units float64) bool {
 	age := h.now - n.Boot
 	if n.Boot == 0 || h.set.Ramp == 0 || age >= h.set.Ramp+h.set.FallWindow {
-		return math.Inf(1)
+		return true
 	}
 	part := h.part(h.set.ColdUnits)
 	if since := age - h.set.FallWindow; since > 0 && h.set.ColdShare > 0 {
 		part *= 1 + (1/h.set.ColdShare-1)*since.Seconds()/h.set.Ramp.Seconds()
 	}
+	sent := 0.0
 	for _, m := range n.sent {
 		if m.at >= h.now-h.set.FallWindow {
-			part -= m.units
+			sent += m.units
+		}
+	}
+	return sent+units <= part || (sent == 0 && units <= part*h.set.FallMultiple)
+}
+
+// relieve counts what a node has served by the multiple that the rule allows less: what it keeps up with
+// does not push it over, while what it does not answer counts in full.
+func (h *Host) relieve(n *node, id uint32) {
+	for i := range n.sent {
+		if n.sent[i].id == id && h.set.FallMultiple > 1 {
+			n.sent[i].units /= h.set.FallMultiple
 		}
 	}
-	return part
 }
 
 // send starts an attempt. The virtual time moves to the start tag of what leaves.
@@ -630,7 +645,7 @@
 	n.out = append(n.out, r)
 	n.used += r.cost
 	n.sent = slices.DeleteFunc(n.sent, func(m mark) bool { return m.at < h.now-h.set.FallWindow })
-	n.sent = append(n.sent, mark{h.now, r.Units})
+	n.sent = append(n.sent, mark{r.ID, h.now, r.Units})
 	h.act(Send{ID: r.ID, Server: n.Server})
 }
 
@@ -707,6 +722,9 @@
 		n.used -= r.cost
 	}
 	n.out = slices.DeleteFunc(n.out, func(q *request) bool { return q == r })
+	if o.Code == OK {
+		h.relieve(n, r.ID)
+	}
 	h.judge(n, o, r.sentAt)
 	h.settle(r, n, o)
 	if r.ended || o.Ended {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -389,12 +389,46 @@
 	}
 	n := r.h.nodes[server(0)]
 	r.h.now += 6 * time.Second // the window then starts 5 s after the boot: a quarter and half of the rest
-	if got := r.h.coldLeft(n); got != 25 {
-		t.Errorf("later it bears %v, want 10 x 0.625 / 0.25 = 25", got)
+	if !r.h.bears(n, 25) || r.h.bears(n, 26) {
+		t.Error("later it bears 10 x 0.625 / 0.25 = 25")
 	}
 	r.h.now += 6 * time.Second
-	if got := r.h.coldLeft(n); !math.IsInf(got, 1) {
-		t.Errorf("warm, it bears %v", got)
+	if !r.h.bears(n, 1000) {
+		t.Error("warm, it bears anything")
+	}
+}
+
+// Where the part is less than a request, one may go in a window, up to the rule's multiple of the part.
+func TestColdNodeIsServedByManyHosts(t *testing.T) {
+	set := coldSettings()
+	set.Hosts, set.FallMultiple = 20, 2
+	r := start(t, set, 0)
+	r.do(Members{Form: ListFull, Entries: []Entry{{Server: server(0), Status: Ready, Boot: r.now}}})
+	r.fix(64)
+	units := func(u float64) Event { return r.ask(func(q *Request) { q.Units, q.Volume = u, uint64(u) }) }
+	want(t, "a part of 1: one of 2 units, not of 3", sends(r.do(units(3), units(2), units(1))), 2)
+}
+
+// What a cold node serves counts less, what it does not answer counts in full.
+func TestColdNodeThatKeepsUpGetsMore(t *testing.T) {
+	set := coldSettings()
+	set.FallMultiple = 2
+	for code, more := range map[Code]int{OK: 5, Full: 0} {
+		r := start(t, set, 0)
+		r.do(Members{Form: ListFull, Entries: []Entry{{Server: server(0), Status: Ready, Boot: r.now}}})
+		n := r.fix(64)
+		var evs []Event
+		for range 30 {
+			evs = append(evs, r.ask(nil))
+		}
+		ids := sends(r.do(evs...))
+		for _, id := range ids {
+			r.h.Handle(r.now, Outcome{ID: id, Server: server(0), Code: code, Took: ms, Ended: code == OK})
+		}
+		n.fails = 0
+		if got := len(sends(r.do())); len(ids) != 10 || got != more {
+			t.Errorf("after %d answers %d: %d more, want %d", len(ids), code, got, more)
+		}
 	}
 }
 
