--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 	startDepth   = 8.0  // slots at a node of which nothing is known yet; the design's value
 	startSlots   = 32.0 // but no more than a part of this over all hosts
 	leastSlots   = 4.0  // all hosts together may have this many out at a node; one host never needs over one
-	mostDepth    = 64.0
+	mostDepth    = 24.0
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 3.0  // slots that all hosts together gain in a period while their depths hold back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
