--- a/control/control.go
+++ b/control/control.go
@@ -421,7 +421,7 @@
 }
 
 func byTag(a, b *request) int {
-	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.seq, b.seq))
+	return cmp.Or(cmp.Compare(a.start, b.start), cmp.Compare(a.advance, b.advance), cmp.Compare(a.seq, b.seq))
 }
 
 func (h *Host) enqueue(r *request) {
