--- a/control/control.go
+++ b/control/control.go
@@ -476,7 +476,7 @@
 	for _, s := range h.shards {
 		wait := math.MaxFloat64
 		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
-			wait = h.expect(n).Seconds() * (1 + n.used + s.units/max(h.mean, 1))
+			wait = max(h.expect(n), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.mean, 1))
 		}
 		if wait < least {
 			best, least = s, wait
@@ -836,5 +836,14 @@
 // share the nodes that alone may be more than a node can serve in time: each then paces its sends.
 func (h *Host) leastDepth() float64 { return min(1, h.part(leastSlots)) }
 
+// oldest is the age of the attempt that is out longest. A node that is stuck with one heavy request, pauses
+// or hangs shows it here long before its latency does.
+func (h *Host) oldest(n *node) time.Duration {
+	if len(n.out) == 0 {
+		return 0
+	}
+	return h.now - n.out[0].sentAt
+}
+
 // expect is how long a request sent now will take at the node.
 func (h *Host) expect(n *node) time.Duration { return n.latency }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -641,6 +641,19 @@
 	}
 }
 
+// A node stuck with one heavy request shows it by the age of that attempt.
+func TestNewObjectAvoidsAStuckNode(t *testing.T) {
+	r := start(t, settings(), 2)
+	r.do(r.ask(nil)) // at the node of cell 0
+	r.h.nodes[server(0)].deviation = time.Second
+	r.h.nodes[server(1)].latency *= 3
+	r.now += 500 * ms
+	r.do(r.ask(func(q *Request) { q.Cell = NewObject }))
+	if got := r.h.reqs[2].node.Cell; got != 1 {
+		t.Errorf("put on the node of cell %d", got)
+	}
+}
+
 // Nodes that turn work away at once answer fastest; without a guard they would attract the most.
 func TestFastRefusalsDoNotAttract(t *testing.T) {
 	r := start(t, settings(), 2)
