--- a/control/control.go
+++ b/control/control.go
@@ -145,6 +145,7 @@
 	shards   []*shard // by cell
 	vols     map[uint64]*volume
 	keys     map[uint64]*chain
+	resting  []uint64 // keys whose chain became empty, oldest first
 	seq      uint64
 	leastAim time.Duration
 	mean     float64       // running mean of sizes over all classes
@@ -328,7 +329,9 @@
 // ---- Taking requests ----
 
 func (h *Host) take(q Request) {
-	h.taken = append(h.taken, h.now)
+	if h.set.Budget {
+		h.taken = append(h.taken, h.now)
+	}
 	if q.Class >= len(h.classes) || q.Expires <= h.now+sureMargin || (q.Cell < 0 && len(h.shards) == 0) {
 		h.act(Refuse{ID: q.ID})
 		return
@@ -660,7 +663,7 @@
 
 // send starts an attempt. The virtual time moves to the start tag of what leaves.
 func (h *Host) send(r *request, n *node) {
-	if r.attempts > 0 {
+	if h.set.Budget && r.attempts > 0 {
 		h.extras = append(h.extras, h.now)
 	}
 	if !r.charged {
@@ -726,8 +729,23 @@
 	if r.unsure > 0 {
 		k.rest = max(k.rest, r.unsure+h.set.OrderPause)
 	}
-	if len(k.list) == 0 && k.rest <= h.now {
-		delete(h.keys, r.Key)
+	if len(k.list) == 0 {
+		h.resting = append(h.resting, r.Key)
+	}
+	h.forgetKeys()
+}
+
+// forgetKeys drops the chains that are empty and have rested, so that keys seen once do not pile up.
+func (h *Host) forgetKeys() {
+	for len(h.resting) > 0 {
+		key := h.resting[0]
+		if k := h.keys[key]; k != nil && len(k.list) == 0 {
+			if k.rest > h.now {
+				return
+			}
+			delete(h.keys, key)
+		}
+		h.resting = h.resting[1:]
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -514,6 +514,24 @@
 	want(t, "then goes on", sends(r.pass(5*ms)), 3)
 }
 
+func TestKeysAreForgottenAfterTheirRest(t *testing.T) {
+	set := settings()
+	set.Classes[0].InOrder, set.OrderPause = true, 100*ms
+	r := start(t, set, 1)
+	for key := range uint64(50) {
+		r.do(r.ask(func(q *Request) { q.Key, q.Volume = key+1, key }))
+		r.now += 10 * ms
+		code := OK
+		if key%2 == 0 {
+			code = TimedOut
+		}
+		r.do(Outcome{ID: r.id, Server: server(0), Code: code, Took: 10 * ms, Ended: true})
+	}
+	if got := len(r.h.keys); got > 12 {
+		t.Errorf("%d keys are remembered, want those of the last 100 ms", got)
+	}
+}
+
 func TestBudgetOfFurtherAttempts(t *testing.T) {
 	set := settings()
 	set.Budget, set.BudgetFloor, set.BudgetRatio, set.BudgetWindow = true, 1, 0.5, time.Second
