Backfill counts only what left; a client that left gives its volume's tag back

From a reading of the module: the cost promoted past a head was counted also when the cold guard held the request, and a held request whose client left kept its volume's place.

--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 	startDepth   = 8.0  // slots at a node of which nothing is known yet; the design's value
 	startSlots   = 32.0 // but no more than a part of this over all hosts
 	leastSlots   = 4.0  // all hosts together may have this many out at a node; one host never needs over one
-	mostDepth    = 24.0
+	mostDepth    = 24.0 // requests out at one node, those taken for lost included
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 3.0  // slots that all hosts together gain in a period while their depths hold back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
@@ -159,7 +159,7 @@
 // New starts a host that knows nothing but its settings.
 func New(seed uint64, set Settings) *Host {
 	h := &Host{set: set, rng: rand.New(rand.NewPCG(seed, 0)), reqs: map[uint32]*request{},
-		nodes: map[Server]*node{}, vols: map[uint64]*volume{}, keys: map[uint64]*chain{}, mean: set.MeanUnits}
+		nodes: map[Server]*node{}, vols: map[uint64]*volume{}, keys: map[uint64]*chain{}}
 	for _, c := range set.Classes {
 		h.classes = append(h.classes, &class{Class: c})
 		if c.Aim > 0 && (h.leastAim == 0 || c.Aim < h.leastAim) {
@@ -350,7 +350,6 @@
 	r.aimBy = min(r.aimBy, q.Expires-sureMargin)
 	r.Units = max(q.Units, 1)
 	r.cost = c.slots(r.Units)
-	h.mean += (r.Units - h.mean) * learnWeight / 16
 	h.reqs[q.ID] = r
 	if c.InOrder && q.Key != 0 {
 		k := h.keys[q.Key]
@@ -472,14 +471,15 @@
 	r.queued = false
 }
 
-// place picks the shard for a new object: the least work at hand for the node's learned rate.
+// place picks the shard for a new object: the least work at hand, in requests, times what the node takes
+// for one.
 func (h *Host) place(r *request) *shard {
 	var best *shard
 	least := math.Inf(1)
 	for _, s := range h.shards {
 		wait := math.MaxFloat64
 		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
-			wait = max(h.expect(n), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.mean, 1))
+			wait = max(h.expect(n), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.set.MeanUnits, 1))
 		}
 		if wait < least {
 			best, least = s, wait
@@ -515,15 +515,16 @@
 			i++
 			continue
 		}
-		if head != nil {
-			if head.passed += r.cost; head.passed > head.cost {
-				return
-			}
+		if head != nil && head.passed+r.cost > head.cost {
+			return
 		}
 		if !h.bears(n, r.Units) {
 			i++
 			continue
 		}
+		if head != nil {
+			head.passed += r.cost
+		}
 		h.dequeue(r)
 		h.send(r, n)
 	}
@@ -707,15 +708,15 @@
 	} else {
 		h.act(Fail{ID: r.ID})
 	}
-	if r.attempts == 0 {
-		h.untag(r)
-	}
 	h.end(r)
 }
 
 // end closes a request that has its answer. While an attempt is out it stays known, and keeps its key's turn.
 func (h *Host) end(r *request) {
 	h.dequeue(r)
+	if r.attempts == 0 {
+		h.untag(r)
+	}
 	r.ended = true
 	if r.node != nil {
 		return
