--- a/control/control.go
+++ b/control/control.go
@@ -678,7 +678,18 @@
 	n.used += r.cost
 	n.sent = slices.DeleteFunc(n.sent, func(m mark) bool { return m.at < h.now-h.set.FallWindow })
 	n.sent = append(n.sent, mark{r.ID, h.now, r.Units})
-	h.act(Send{ID: r.ID, Server: n.Server})
+	h.act(Send{ID: r.ID, Server: n.Server, Allow: h.allow(r, n)})
+}
+
+// allow is how long an attempt may take: where a repeat is safe, until the aim or the node's patience,
+// whichever is later, since an answer after that earns little and the work may stop, or the client may try
+// again. Others run as long as the client waits (0): those whose end would stay unsure, those late already,
+// and new objects, whose age tells place where a node is stuck.
+func (h *Host) allow(r *request, n *node) time.Duration {
+	if r.class.Repeat != Safe || r.Cell < 0 || r.aimBy <= h.now {
+		return 0
+	}
+	return max(r.aimBy-h.now, n.patience())
 }
 
 // ---- What cannot be served in time ----
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -659,6 +659,29 @@
 	}
 }
 
+// An attempt is given up once its answer would earn little, but only where that leaves nothing unsure.
+func TestAttemptsAreGivenUpAtTheAim(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, Class{Aim: time.Second, Deadline: 4 * time.Second, Repeat: Unsafe})
+	r := start(t, set, 1)
+	for _, c := range []struct {
+		what   string
+		change func(*Request)
+		want   time.Duration
+	}{
+		{"safe, in time", nil, time.Second},
+		{"a retry that is late already", func(q *Request) { q.Expires -= 2 * time.Second }, 0},
+		{"unsafe", func(q *Request) { q.Class = 1 }, 0},
+		{"a new object", func(q *Request) { q.Cell = NewObject }, 0},
+	} {
+		for _, a := range r.do(r.ask(c.change)) {
+			if s, ok := a.(Send); ok && s.Allow != c.want {
+				t.Errorf("%s: may take %v, want %v", c.what, s.Allow, c.want)
+			}
+		}
+	}
+}
+
 // A node stuck with one heavy request shows it by the age of that attempt.
 func TestNewObjectAvoidsAStuckNode(t *testing.T) {
 	r := start(t, settings(), 2)
