--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,9 @@
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
+	dutyOver     = 2 * time.Second      // a host's use of a node is judged over about this long
+	fitFrom      = 16.0                 // answers before sizes are held to tell anything of times
+	fitOver      = 512.0                // answers over which that is learned
 	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
 	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
@@ -70,6 +73,28 @@
 	mean float64 // running mean of sizes in units
 	seen float64
 	span time.Duration // longest time that a try was given: that of a first try
+	fit  fit
+}
+
+// fit is a running line through the times at a node against sizes in units.
+type fit struct{ n, size, took, square, cross float64 }
+
+func (f *fit) add(size, took float64) {
+	f.n = min(f.n+1, fitOver)
+	f.size += (size - f.size) / f.n
+	f.took += (took - f.took) / f.n
+	f.square += (size*size - f.square) / f.n
+	f.cross += (size*took - f.cross) / f.n
+}
+
+// extra is how much longer than the mean one a request of this size takes.
+func (f *fit) extra(size float64) time.Duration {
+	spread := f.square - f.size*f.size
+	if f.n < fitFrom || spread <= 0 {
+		return 0
+	}
+	slope := min(max(0, (f.cross-f.size*f.took)/spread), f.took/f.size)
+	return time.Duration(slope * (size - f.size) * float64(time.Second))
 }
 
 // store is a bucket of units.
@@ -120,6 +145,9 @@
 	deviation time.Duration // mean, of latencies
 	heardAt   time.Duration // last answer
 	adaptedAt time.Duration
+	busy      bool    // something was out or held at dutyAt
+	duty      float64 // part of the time that it was
+	dutyAt    time.Duration
 	fails     int // in a row
 	retryAt   time.Duration
 	sent      []mark
@@ -210,6 +238,9 @@
 		}
 		h.dispatch(s)
 		h.triage(s)
+		if s.node != nil {
+			h.use(s.node)
+		}
 		held = held || len(s.queue) > 0
 	}
 	if held && !h.review {
@@ -224,6 +255,23 @@
 // part is this host's even part of what all hosts together may have.
 func (h *Host) part(whole float64) float64 { return whole / float64(max(h.set.Hosts, 1)) }
 
+// share is this host's part of what all hosts together may have at a node. It takes the others to use the
+// node as often as it does itself: most of many hosts have nothing there at any moment, and an even part
+// for each would leave the node idle, while a host that surges soon counts on the even part alone.
+func (h *Host) share(n *node, whole float64) float64 {
+	return whole / (1 + n.duty*float64(max(h.set.Hosts, 1)-1))
+}
+
+// use brings a node's duty up to now.
+func (h *Host) use(n *node) {
+	fade := math.Exp(-(h.now - n.dutyAt).Seconds() / dutyOver.Seconds())
+	n.duty *= fade
+	if n.busy {
+		n.duty += 1 - fade
+	}
+	n.dutyAt, n.busy = h.now, len(n.out) > 0 || len(h.shardOf(int(n.Cell)).queue) > 0
+}
+
 func (h *Host) act(a Action) { h.acts = append(h.acts, a) }
 
 func (h *Host) timer(t Timer) {
@@ -341,8 +389,10 @@
 	r := &request{Request: q, class: c, vol: h.volumeOf(q), aimBy: q.Expires}
 	if c.Aim > 0 {
 		r.aimBy = q.Expires - c.span + c.Aim // a client's retry has less time left than a first try
-		if h.set.RetriesAreKnown && !q.Repeat {
-			r.aimBy = h.now + c.Aim // and a first try with little time left is a client of short patience
+		if q.Expires-h.now < c.Aim || (h.set.RetriesAreKnown && !q.Repeat) {
+			// A first try with little time left is a client of short patience: what counts is the patience that
+			// the request tells. A retry that came back as late as that earns little either way.
+			r.aimBy = h.now + c.Aim
 		}
 	}
 	// A host that has seen nothing but retries yet knows too short a span: never hold beyond the client's
@@ -479,7 +529,7 @@
 	for _, s := range h.shards {
 		wait := math.MaxFloat64
 		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
-			wait = max(h.expect(n), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.set.MeanUnits, 1))
+			wait = max(h.expect(n, r), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.set.MeanUnits, 1))
 		}
 		if wait < least {
 			best, least = s, wait
@@ -502,8 +552,8 @@
 			i++
 			continue
 		}
-		if h.now+h.expect(n) > r.Expires {
-			h.giveUp(r, 0) // no slots for what the client will not wait for
+		if h.now >= r.aimBy || h.now+h.expect(n, r) > r.Expires {
+			h.giveUp(r, 0) // no slots for what is late already or the client will not wait for
 			continue
 		}
 		if bound := h.bound(s, r); (n.used > 0 && n.used+r.cost > bound) ||
@@ -541,7 +591,7 @@
 		return s.node.depth
 	}
 	free := 1 - s.node.latency.Seconds()/(headPart*h.leastAim.Seconds())
-	return s.node.depth + h.part(headroom)*max(0, free)
+	return s.node.depth + h.share(s.node, headroom)*max(0, free)
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
@@ -697,11 +747,12 @@
 // triage looks through what is held and gives up at once on what would miss its aim even if it left now: it
 // would only take slots from requests that can still be in time.
 func (h *Host) triage(s *shard) {
-	n, wait := s.node, time.Duration(0)
-	if n != nil {
-		wait = h.expect(n)
-	}
+	n := s.node
 	for _, r := range slices.Clone(s.queue) {
+		wait := time.Duration(0)
+		if n != nil {
+			wait = h.expect(n, r)
+		}
 		if h.now+wait > r.aimBy || (r.attempts > 0 && n != nil && !h.mayRepeat(r, n)) {
 			h.dequeue(r)
 			h.giveUp(r, wait)
@@ -783,7 +834,8 @@
 	if o.Code == OK {
 		h.relieve(n, r.ID)
 	}
-	h.judge(n, o, r.sentAt)
+	h.use(n)
+	h.judge(n, r, o)
 	h.settle(r, n, o)
 	if r.ended || o.Ended {
 		h.end(r)
@@ -792,7 +844,7 @@
 	again := o.Code != OK && o.Code != Moot && o.Code != Cancelled && h.now < r.aimBy &&
 		(r.ranAt == nil || r.class.Repeat != Unsafe) && r.attempts < h.set.MaxAttempts
 	if !again {
-		h.giveUp(r, h.expect(n))
+		h.giveUp(r, h.expect(n, r))
 		return
 	}
 	if r.Cell < 0 && (r.ranAt == nil || r.class.Repeat == Safe) {
@@ -828,8 +880,8 @@
 
 // judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that
 // the node answered is newer: else it was that one attempt that got lost, or the client's wait was short.
-func (h *Host) judge(n *node, o Outcome, sentAt time.Duration) {
-	silent := o.Code == TimedOut && n.heardAt <= sentAt && o.Took > n.patience()
+func (h *Host) judge(n *node, r *request, o Outcome) {
+	silent := o.Code == TimedOut && n.heardAt <= r.sentAt && o.Took > n.patience()
 	switch {
 	case o.Code == OK || o.Code == Error:
 		n.fails, n.heardAt = 0, h.now
@@ -839,6 +891,10 @@
 	}
 	if o.Code == OK || silent {
 		off := o.Took - n.latency
+		if o.Code == OK {
+			off -= r.class.fit.extra(r.Units)
+			r.class.fit.add(r.Units, o.Took.Seconds())
+		}
 		n.latency += time.Duration(learnWeight * float64(off))
 		n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
 		h.adapt(n)
@@ -875,5 +931,8 @@
 	return h.now - n.out[0].sentAt
 }
 
-// expect is how long a request sent now will take at the node.
-func (h *Host) expect(n *node) time.Duration { return n.latency }
+// expect is how long a request sent now will take at the node: what it took lately for one of mean size, and
+// what this one's size adds.
+func (h *Host) expect(n *node, r *request) time.Duration {
+	return max(0, n.latency+r.class.fit.extra(r.Units))
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -726,3 +726,50 @@
 	want(t, "the next of a volume ahead waits four latencies", sends(r.done(1, 0, 0, OK, 400*ms)))
 	want(t, "one that is not ahead does not", sends(r.do(r.ask(func(q *Request) { q.Volume = 2 }))), 3)
 }
+
+// Clients that come with less time than the aim are of short patience, not late retries: they are served
+// while they wait, unless their size says that they cannot be back in time.
+func TestShortPatienceIsServedBySize(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim = 200 * ms
+	r := start(t, set, 2)
+	r.do(r.ask(nil)) // a first try shows the usual wait
+	n := r.h.nodes[server(1)]
+	n.latency, n.depth = 10*ms, 8
+	for i := range 40 {
+		size := float64(1 + i%4)
+		r.h.classes[0].fit.add(size, 0.010*size)
+	}
+	short := func(q *Request) { q.Cell, q.Expires = 1, r.now+50*ms }
+	a := r.ask(short)
+	want(t, "a small one leaves", sends(r.do(a)), a.ID)
+	b := r.ask(func(q *Request) { short(q); q.Units = 8 })
+	want(t, "a large one is refused", ends(r.do(b)), fmt.Sprint("refuse ", b.ID))
+}
+
+// A retry that comes back past its aim must not take reserve and slots from what can still be in time.
+func TestRetryPastItsAimIsRefusedAtOnce(t *testing.T) {
+	r := start(t, settings(), 1)
+	r.do(r.ask(nil))
+	late := r.ask(func(q *Request) { q.Expires = r.now + 2*time.Second })
+	want(t, "late retry", ends(r.do(late)), fmt.Sprint("refuse ", late.ID))
+}
+
+// A host that seldom uses a node takes it that the others seldom do; one that always does counts on the
+// even part alone.
+func TestShareFollowsOwnDuty(t *testing.T) {
+	set := settings()
+	set.Hosts = 100
+	r := start(t, set, 1)
+	n := r.h.nodes[server(0)]
+	if got := r.h.share(n, 8); got != 8 {
+		t.Errorf("idle host's share: %v, want 8", got)
+	}
+	n.busy = true
+	r.now += 20 * time.Second
+	r.do(Timer{})
+	r.h.use(n)
+	if got := r.h.share(n, 8); got > 0.081 {
+		t.Errorf("busy host's share: %v, want 0.08", got)
+	}
+}
