Attempts given up at the aim; jammed nodes drain; pace that slows with latency

Trials at a full or silent node are now shared by all hosts, spread by chance; safe attempts end at the aim, which lets a node drop what waits. Over a quarter of the aim the pace of volumes ahead slows with the square of the latency, so 32 slots over all hosts, not 4, may be the floor. Covers hung nodes and herds at a node that comes back; may hurt where a node that turned away is well again at once. Tried and not kept: reserve in parts by writers, all requests paced, one failure passes, other thresholds.

--- a/control/control.go
+++ b/control/control.go
@@ -18,7 +18,7 @@
 const (
 	startDepth   = 8.0  // slots at a node of which nothing is known yet; the design's value
 	startSlots   = 32.0 // but no more than a part of this over all hosts
-	leastSlots   = 4.0  // all hosts together may have this many out at a node; one host never needs over one
+	leastSlots   = 32.0 // all hosts together may have this many out at a node; one host never needs over one
 	mostDepth    = 24.0 // requests out at one node, those taken for lost included
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 3.0  // slots that all hosts together gain in a period while their depths hold back
@@ -26,6 +26,7 @@
 	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is waiting
 	learnWeight  = 0.25 // weight of a new latency against the running mean
 	headroom     = 32.0 // slots beyond the depth at an empty node over all hosts, for volumes not ahead
+	slowFrom     = 0.25 // over this part of the shortest aim a latency slows the pace beyond its own length
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
@@ -35,8 +36,9 @@
 	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
 	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
-	downMost     = time.Second           // a node that fails is tried again after downFirst, doubling to this
-	sureMargin   = 10 * time.Millisecond // two reviews: what must be over by a time is over this much earlier
+	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
+	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
+	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
 	doublingsMax = 10
@@ -390,8 +392,8 @@
 	if c.Aim > 0 {
 		r.aimBy = q.Expires - c.span + c.Aim // a client's retry has less time left than a first try
 		if q.Expires-h.now < c.Aim || (h.set.RetriesAreKnown && !q.Repeat) {
-			// A first try with little time left is a client of short patience: what counts is the patience that
-			// the request tells. A retry that came back as late as that earns little either way.
+			// A first try with little time left is a client of short patience: what the request tells counts.
+			// A retry that came back as late as that earns little either way.
 			r.aimBy = h.now + c.Aim
 		}
 	}
@@ -603,7 +605,8 @@
 // longer than its attempt is out.
 func (h *Host) paced(n *node, bound float64) bool {
 	return bound < 1 && len(n.sent) > 0 &&
-		h.now-n.sent[len(n.sent)-1].at < time.Duration(float64(n.latency)/bound)
+		h.now-n.sent[len(n.sent)-1].at < time.Duration(float64(n.latency)/bound*
+			max(1, n.latency.Seconds()/(slowFrom*h.leastAim.Seconds())))
 }
 
 // patience is how long an attempt may be out before it is taken for lost or stuck.
@@ -728,18 +731,18 @@
 	n.used += r.cost
 	n.sent = slices.DeleteFunc(n.sent, func(m mark) bool { return m.at < h.now-h.set.FallWindow })
 	n.sent = append(n.sent, mark{r.ID, h.now, r.Units})
-	h.act(Send{ID: r.ID, Server: n.Server, Allow: h.allow(r, n)})
+	h.act(Send{ID: r.ID, Server: n.Server, Allow: h.allow(r)})
 }
 
-// allow is how long an attempt may take: where a repeat is safe, until the aim or the node's patience,
-// whichever is later, since an answer after that earns little and the work may stop, or the client may try
-// again. Others run as long as the client waits (0): those whose end would stay unsure, those late already,
-// and new objects, whose age tells place where a node is stuck.
-func (h *Host) allow(r *request, n *node) time.Duration {
-	if r.class.Repeat != Safe || r.Cell < 0 || r.aimBy <= h.now {
+// allow is how long an attempt may take: where a repeat is safe, until the aim, since an answer after that
+// earns little, while work that still waits there may be dropped: a node that holds too much of what nobody
+// waits for gets slower by it, and may never come out of that. Others run as long as the client waits (0),
+// as their end would stay unsure.
+func (h *Host) allow(r *request) time.Duration {
+	if r.class.Repeat != Safe || r.aimBy <= h.now {
 		return 0
 	}
-	return max(r.aimBy-h.now, n.patience())
+	return r.aimBy - h.now
 }
 
 // ---- What cannot be served in time ----
@@ -881,15 +884,16 @@
 // judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that
 // the node answered is newer: else it was that one attempt that got lost, or the client's wait was short.
 func (h *Host) judge(n *node, r *request, o Outcome) {
-	silent := o.Code == TimedOut && n.heardAt <= r.sentAt && o.Took > n.patience()
+	lost := o.Code == TimedOut && n.heardAt <= r.sentAt && o.Took > n.latency
+	silent := lost && o.Took > min(n.patience(), h.leastAim/2)
 	switch {
 	case o.Code == OK || o.Code == Error:
 		n.fails, n.heardAt = 0, h.now
 	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || silent:
 		n.fails++
-		n.retryAt = h.now + min(downMost, downFirst<<min(n.fails-1, doublingsMax))
+		n.retryAt = h.now + h.pause(n, o.Code)
 	}
-	if o.Code == OK || silent {
+	if o.Code == OK || lost {
 		off := o.Took - n.latency
 		if o.Code == OK {
 			off -= r.class.fit.extra(r.Units)
@@ -901,6 +905,18 @@
 	}
 }
 
+// expect is how long a request sent now will take at the node: what it took lately for one of mean size and
+// turns away or does not answer in time may be full of work that nobody waits for any more; the trials of
+// many hosts alone would keep it full, so all hosts together try it about once in trialGap.
+func (h *Host) pause(n *node, code Code) time.Duration {
+	most := downMost
+	if code == Full || code == TimedOut {
+		most = max(most, time.Duration(float64(trialGap)/h.part(1)))
+	}
+	d := min(most, downFirst<<min(2*(n.fails-1), doublingsMax))
+	return d/2 + time.Duration(h.rng.Int64N(int64(d)))
+}
+
 // target is how long a request may be at its node.
 func (h *Host) target() time.Duration { return time.Duration(nodePart * float64(h.leastAim)) }
 
