--- a/control/control.go
+++ b/control/control.go
@@ -905,9 +905,9 @@
 	}
 }
 
-// pause is how long a node that fails is left alone: growing fourfold, and not in step with other hosts. One that
-// turns away or does not answer in time may be full of work that nobody waits for any more; the trials of
-// many hosts alone would keep it full, so all hosts together try it about once in trialGap.
+// pause is how long a node that fails is left alone: growing fourfold, and not in step with other hosts.
+// One that turns away or does not answer in time may be full of work that nobody waits for any more; the
+// trials of many hosts alone would keep it full, so all hosts together try it about once in trialGap.
 func (h *Host) pause(n *node, code Code) time.Duration {
 	most := downMost
 	if code == Full || code == TimedOut {
