Old latencies fade towards that of all nodes, half in two seconds

Cause: at full size a host hears of a node every few seconds; what it kept in mind of a jam or an idle moment was stale.

--- a/control/control.go
+++ b/control/control.go
@@ -38,6 +38,7 @@
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
+	forgetIn     = 2 * time.Second        // half of what an old latency tells of a node is forgotten
 	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
@@ -146,6 +147,7 @@
 	latency   time.Duration
 	deviation time.Duration // mean, of latencies
 	heardAt   time.Duration // last answer
+	learntAt  time.Duration // last change of the latency
 	adaptedAt time.Duration
 	busy      bool    // something was out or held at dutyAt
 	duty      float64 // part of the time that it was
@@ -899,6 +901,7 @@
 			off -= r.class.fit.extra(r.Units)
 			r.class.fit.add(r.Units, o.Took.Seconds())
 		}
+		n.learntAt = h.now
 		n.latency += time.Duration(learnWeight * float64(off))
 		n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
 		h.adapt(n)
@@ -950,5 +953,9 @@
 // expect is how long a request sent now will take at the node: what it took lately for one of mean size, and
 // what this one's size adds.
 func (h *Host) expect(n *node, r *request) time.Duration {
-	return max(0, n.latency+r.class.fit.extra(r.Units))
+	lately := n.latency.Seconds()
+	if f := r.class.fit; f.n >= fitFrom {
+		lately = f.took + (lately-f.took)*math.Exp2(-(h.now-n.learntAt).Seconds()/forgetIn.Seconds())
+	}
+	return max(0, time.Duration(lately*float64(time.Second))+r.class.fit.extra(r.Units))
 }
