--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,7 @@
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
-	forgetIn     = 2 * time.Second        // half of what an old latency tells of a node is forgotten
+	forgetIn     = time.Second        // half of what an old latency tells of a node is forgotten
 	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
