Expected time by class and size; a node's latency is that of the usual request

Cause: writes take twice a read's time, sizes 1 to 8 units; one mean for all sent what could not be back in a short patience and refused what could. Tried and not kept: faded latency for the pace as well (noise).

--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,7 @@
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
-	forgetIn     = time.Second        // half of what an old latency tells of a node is forgotten
+	forgetIn     = time.Second            // half of what an old latency tells of a node is forgotten
 	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
@@ -90,14 +90,13 @@
 	f.cross += (size*took - f.cross) / f.n
 }
 
-// extra is how much longer than the mean one a request of this size takes.
-func (f *fit) extra(size float64) time.Duration {
-	spread := f.square - f.size*f.size
-	if f.n < fitFrom || spread <= 0 {
-		return 0
+// predict is how long one of this size takes, in seconds.
+func (f *fit) predict(size float64) float64 {
+	slope, spread := 0.0, f.square-f.size*f.size
+	if f.n >= fitFrom && spread > 0 {
+		slope = min(max(0, (f.cross-f.size*f.took)/spread), f.took/f.size)
 	}
-	slope := min(max(0, (f.cross-f.size*f.took)/spread), f.took/f.size)
-	return time.Duration(slope * (size - f.size) * float64(time.Second))
+	return f.took + slope*(size-f.size)
 }
 
 // store is a bucket of units.
@@ -181,6 +180,7 @@
 	seq      uint64
 	leastAim time.Duration
 	mean     float64       // running mean of sizes over all classes
+	usual    fit           // over all classes and nodes
 	review   bool          // a timer for the next review is pending
 	watched  bool          // the list was heard from since the watch was last asked for
 	watchAt  time.Duration // when to ask again if it was not
@@ -898,8 +898,9 @@
 	if o.Code == OK || lost {
 		off := o.Took - n.latency
 		if o.Code == OK {
-			off -= r.class.fit.extra(r.Units)
+			off -= h.extra(r)
 			r.class.fit.add(r.Units, o.Took.Seconds())
+			h.usual.add(r.Units, o.Took.Seconds())
 		}
 		n.learntAt = h.now
 		n.latency += time.Duration(learnWeight * float64(off))
@@ -953,9 +954,26 @@
 // expect is how long a request sent now will take at the node: what it took lately for one of mean size, and
 // what this one's size adds.
 func (h *Host) expect(n *node, r *request) time.Duration {
-	lately := n.latency.Seconds()
-	if f := r.class.fit; f.n >= fitFrom {
-		lately = f.took + (lately-f.took)*math.Exp2(-(h.now-n.learntAt).Seconds()/forgetIn.Seconds())
+	return max(0, h.lately(n)+h.extra(r))
+}
+
+// extra is how much longer than the usual one a request of this class and size takes.
+func (h *Host) extra(r *request) time.Duration {
+	if h.usual.n < fitFrom || r.class.fit.n < fitFrom {
+		return 0
 	}
-	return max(0, time.Duration(lately*float64(time.Second))+r.class.fit.extra(r.Units))
+	return seconds(r.class.fit.predict(r.Units) - h.usual.took)
 }
+
+// lately is what the usual request took at the node. What is old of it fades towards that of all nodes: with
+// many hosts, each hears of a node but now and then.
+func (h *Host) lately(n *node) time.Duration {
+	if h.usual.n < fitFrom {
+		return n.latency
+	}
+	usual := seconds(h.usual.took)
+	fade := math.Exp2(-(h.now - n.learntAt).Seconds() / forgetIn.Seconds())
+	return usual + time.Duration(float64(n.latency-usual)*fade)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -782,6 +782,7 @@
 	for i := range 40 {
 		size := float64(1 + i%4)
 		r.h.classes[0].fit.add(size, 0.010*size)
+		r.h.usual.add(size, 0.010*size)
 	}
 	short := func(q *Request) { q.Cell, q.Expires = 1, r.now+50*ms }
 	a := r.ask(short)
@@ -816,3 +817,17 @@
 		t.Errorf("busy host's share: %v, want 0.08", got)
 	}
 }
+
+// With many hosts each hears of a node but now and then: what it knew of a jam must not hold for seconds.
+func TestOldLatencyFadesToTheUsual(t *testing.T) {
+	r := start(t, settings(), 1)
+	n := r.h.nodes[server(0)]
+	for range 20 {
+		r.h.usual.add(1, 0.1)
+	}
+	n.latency, n.learntAt = 900*ms, r.now
+	r.h.now = r.now + 3*forgetIn
+	if got := r.h.lately(n); got != 200*ms {
+		t.Errorf("got %v, want 200 ms", got)
+	}
+}
