Slots over all hosts: 128 at a quick node, falling with the fourth power of its latency

Cause: four slots in even parts starved hosts at idle nodes, since of 57 to 220 hosts most have nothing there; but a jam of all of them must end. A lost attempt counts as its time and the mean.

--- a/control/control.go
+++ b/control/control.go
@@ -17,20 +17,19 @@
 
 const (
 	startDepth   = 8.0  // slots at a node of which nothing is known yet; the design's value
-	startSlots   = 32.0 // but no more than a part of this over all hosts
-	leastSlots   = 32.0 // all hosts together may have this many out at a node; one host never needs over one
+	allSlots     = 128  // all hosts together may have this many out at a node that answers quickly
+	slowFrom     = 0.25 // over this part of the shortest aim a latency makes them fewer,
+	slowPower    = 4.0  // by this power of it
 	mostDepth    = 24.0 // requests out at one node, those taken for lost included
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
 	depthGain    = 3.0  // slots that all hosts together gain in a period while their depths hold back
 	depthStep    = 0.5  // part of the way to the wanted depth that one period goes
 	nodePart     = 0.1  // part of the shortest aim that a request may spend at its node; the rest is waiting
 	learnWeight  = 0.25 // weight of a new latency against the running mean
-	headroom     = 32.0 // slots beyond the depth at an empty node over all hosts, for volumes not ahead
-	slowFrom     = 0.25 // over this part of the shortest aim a latency slows the pace beyond its own length
+	headroom     = 8.0  // slots beyond the depth of one host at an empty node, for volumes not ahead
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
-	dutyOver     = 2 * time.Second      // a host's use of a node is judged over about this long
 	fitFrom      = 16.0                 // answers before sizes are held to tell anything of times
 	fitOver      = 512.0                // answers over which that is learned
 	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
@@ -148,9 +147,6 @@
 	heardAt   time.Duration // last answer
 	learntAt  time.Duration // last change of the latency
 	adaptedAt time.Duration
-	busy      bool    // something was out or held at dutyAt
-	duty      float64 // part of the time that it was
-	dutyAt    time.Duration
 	fails     int // in a row
 	retryAt   time.Duration
 	sent      []mark
@@ -242,9 +238,6 @@
 		}
 		h.dispatch(s)
 		h.triage(s)
-		if s.node != nil {
-			h.use(s.node)
-		}
 		held = held || len(s.queue) > 0
 	}
 	if held && !h.review {
@@ -259,23 +252,6 @@
 // part is this host's even part of what all hosts together may have.
 func (h *Host) part(whole float64) float64 { return whole / float64(max(h.set.Hosts, 1)) }
 
-// share is this host's part of what all hosts together may have at a node. It takes the others to use the
-// node as often as it does itself: most of many hosts have nothing there at any moment, and an even part
-// for each would leave the node idle, while a host that surges soon counts on the even part alone.
-func (h *Host) share(n *node, whole float64) float64 {
-	return whole / (1 + n.duty*float64(max(h.set.Hosts, 1)-1))
-}
-
-// use brings a node's duty up to now.
-func (h *Host) use(n *node) {
-	fade := math.Exp(-(h.now - n.dutyAt).Seconds() / dutyOver.Seconds())
-	n.duty *= fade
-	if n.busy {
-		n.duty += 1 - fade
-	}
-	n.dutyAt, n.busy = h.now, len(n.out) > 0 || len(h.shardOf(int(n.Cell)).queue) > 0
-}
-
 func (h *Host) act(a Action) { h.acts = append(h.acts, a) }
 
 func (h *Host) timer(t Timer) {
@@ -340,7 +316,7 @@
 		h.nodes[e.Server] = n
 	}
 	if n.depth == 0 || e.Boot > n.Boot {
-		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, min(startDepth, h.part(startSlots)),
+		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, min(startDepth, h.part(allSlots)),
 			h.target()/2, h.target()/4
 	}
 	n.Entry = e
@@ -584,18 +560,23 @@
 	}
 }
 
-// bound is how many slots may be out at the shard's node when a request joins them: the depth, and more for
-// one that starts no later than the virtual time, as its volume has had no more than its share here. A
-// surge that comes through other hosts fills the node to the same depth, and the wait for this host's own
-// few slots must not cost such volumes their service. The extra shrinks to none as the node's latency
-// grows, since it only helps while most of the node's work is not of that kind; it would hurt where a node
-// cannot even serve all shares in time.
+// bound is how many slots may be out at the shard's node when a request joins them: the depth, but of many
+// hosts only a part of what all may have there, which falls steeply once the node's latency is over slowFrom
+// of the shortest aim. Of many hosts most are idle at a node at any moment, so it starts high; a jam of all
+// of them must still end. A request that starts no later than the virtual time gets more, as its volume has
+// had no more than its share here: a surge that comes through other hosts fills the node to the same depth,
+// and the wait for this host's own few slots must not cost such volumes their service. The extra shrinks to
+// none as the latency grows; it would hurt where a node cannot even serve all shares in time.
 func (h *Host) bound(s *shard, r *request) float64 {
-	if r.start > s.vt || h.leastAim <= 0 {
+	if h.leastAim <= 0 {
 		return s.node.depth
 	}
-	free := 1 - s.node.latency.Seconds()/(headPart*h.leastAim.Seconds())
-	return s.node.depth + h.share(s.node, headroom)*max(0, free)
+	spent := s.node.latency.Seconds() / h.leastAim.Seconds()
+	depth := min(s.node.depth, h.part(max(1, allSlots/math.Pow(max(1, spent/slowFrom), slowPower))))
+	if r.start > s.vt {
+		return depth
+	}
+	return depth + headroom*max(0, 1-spent/headPart)
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
@@ -607,8 +588,7 @@
 // longer than its attempt is out.
 func (h *Host) paced(n *node, bound float64) bool {
 	return bound < 1 && len(n.sent) > 0 &&
-		h.now-n.sent[len(n.sent)-1].at < time.Duration(float64(n.latency)/bound*
-			max(1, n.latency.Seconds()/(slowFrom*h.leastAim.Seconds())))
+		h.now-n.sent[len(n.sent)-1].at < seconds(n.latency.Seconds()/bound)
 }
 
 // patience is how long an attempt may be out before it is taken for lost or stuck.
@@ -839,7 +819,6 @@
 	if o.Code == OK {
 		h.relieve(n, r.ID)
 	}
-	h.use(n)
 	h.judge(n, r, o)
 	h.settle(r, n, o)
 	if r.ended || o.Ended {
@@ -886,7 +865,7 @@
 // judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that
 // the node answered is newer: else it was that one attempt that got lost, or the client's wait was short.
 func (h *Host) judge(n *node, r *request, o Outcome) {
-	lost := o.Code == TimedOut && n.heardAt <= r.sentAt && o.Took > n.latency
+	lost := o.Code == TimedOut && n.heardAt <= r.sentAt && o.Took > min(n.latency, h.leastAim/2)
 	silent := lost && o.Took > min(n.patience(), h.leastAim/2)
 	switch {
 	case o.Code == OK || o.Code == Error:
@@ -897,6 +876,9 @@
 	}
 	if o.Code == OK || lost {
 		off := o.Took - n.latency
+		if lost {
+			off = o.Took // it would have taken longer, by about the mean
+		}
 		if o.Code == OK {
 			off -= h.extra(r)
 			r.class.fit.add(r.Units, o.Took.Seconds())
@@ -938,9 +920,9 @@
 	n.limited, n.adaptedAt = false, h.now
 }
 
-// leastDepth is what a depth falls to. One request of each host must be able to leave, but where many hosts
-// share the nodes that alone may be more than a node can serve in time: each then paces its sends.
-func (h *Host) leastDepth() float64 { return min(1, h.part(leastSlots)) }
+// leastDepth is what a depth falls to: one request of each host may leave, or where hosts are very many the
+// part that each has of allSlots.
+func (h *Host) leastDepth() float64 { return min(1, h.part(allSlots)) }
 
 // oldest is the age of the attempt that is out longest. A node that is stuck with one heavy request, pauses
 // or hangs shows it here long before its latency does.
