Cold nodes: even parts or turns, so that all hosts at once stay within the figure

Cause: with 77 to 220 hosts an even part is under one request, and letting one go up to the rule's multiple of it was, for all hosts at once, the multiple of the figure that is stated as safe. Now those whose turn it is share half of it, and a window meets two turns at most; the worst sum is tested at 2 to 220 hosts, and that of the limits at 8.

--- a/control/control.go
+++ b/control/control.go
@@ -661,30 +661,41 @@
 	return float64(len(h.extras)+1) <= h.set.BudgetFloor+h.set.BudgetRatio*float64(len(h.taken))
 }
 
-// bears tells whether a node may be sent so many units more now. A cold one bears a stated figure in each
-// window over all hosts; this host uses its even part, growing as the node is sure to warm up, reckoned
-// from the window's start. Where hosts are so many that the part is less than a request, one request may go
-// in a window in which none went, up to the multiple that the rule allows: else a cold node's shard would
-// not be served at all.
+// bears tells whether a node may be sent so many units more now. A cold one bears a stated figure in any
+// window over all hosts; this host uses its even part. Where hosts are so many that the part is less than a
+// usual request, they take turns of a window each, so many at a time that one fits: a window meets two turns
+// at most, and those whose turn it is share half of the figure. Either way all hosts at once stay within it,
+// at the price that most of a cold shard's requests are refused where hosts are many.
 func (h *Host) bears(n *node, units float64) bool {
-	age := h.now - n.Boot
-	if n.Boot == 0 || h.set.Ramp == 0 || age >= h.set.Ramp+h.set.FallWindow {
+	age, window := h.now-n.Boot, max(h.set.FallWindow, 1)
+	if n.Boot == 0 || h.set.Ramp == 0 || age >= h.set.Ramp+window {
 		return true
 	}
-	part := h.part(h.set.ColdUnits)
-	if since := age - h.set.FallWindow; since > 0 && h.set.ColdShare > 0 {
-		part *= 1 + (1/h.set.ColdShare-1)*since.Seconds()/h.set.Ramp.Seconds()
-	}
-	sent := 0.0
-	if n.Boot < h.born && h.now-h.born < h.set.FallWindow {
-		sent = part // a host just restarted does not know what it sent before: assume all
+	if n.Boot < h.born && h.now-h.born < window {
+		return false // a host just restarted does not know what it sent before: assume all
 	}
+	sent := units
 	for _, m := range n.sent {
-		if m.at >= h.now-h.set.FallWindow {
+		if m.at >= h.now-window {
 			sent += m.units
 		}
 	}
-	return sent+units <= part || (sent == 0 && units <= part*h.set.FallMultiple)
+	usual := max(h.set.MeanUnits, 1)
+	if h.part(h.set.ColdUnits) >= usual {
+		return sent <= h.part(h.coldUnits(age-window))
+	}
+	turn, hosts := age/window, float64(max(h.set.Hosts, 1))
+	half := h.coldUnits((turn-1)*window) / 2
+	turns := math.Ceil(hosts / max(1, math.Floor(half/usual)))
+	return math.Mod(float64(turn)+float64(h.set.Me), turns) == 0 && sent <= half/math.Ceil(hosts/turns)
+}
+
+// coldUnits is what a node bears in a window that begins so long after its start: more as it is sure to warm.
+func (h *Host) coldUnits(since time.Duration) float64 {
+	if since <= 0 || h.set.ColdShare <= 0 {
+		return h.set.ColdUnits
+	}
+	return h.set.ColdUnits * (1 + (1/h.set.ColdShare-1)*since.Seconds()/h.set.Ramp.Seconds())
 }
 
 // relieve counts what a node has served by the multiple that the rule allows less: what it keeps up with
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -817,3 +817,83 @@
 		t.Errorf("got %v, want 200 ms", got)
 	}
 }
+
+// All hosts at once, each sending whatever its guard lets go, must stay within the stated figure in any
+// window, however many they are; and some of it must get through.
+func TestAllHostsTogetherStayWithinTheColdFigure(t *testing.T) {
+	for _, hosts := range []int{2, 10, 57, 220} {
+		set := coldSettings()
+		set.Hosts, set.FallMultiple = hosts, 2.5
+		var sent []mark
+		var all []*rig
+		for me := range hosts {
+			set.Me = me
+			r := start(t, set, 0)
+			r.do(Members{Form: ListFull, Entries: []Entry{{Server: server(0), Status: Ready, Boot: r.now}}})
+			all = append(all, r)
+		}
+		boot := all[0].now
+		for now := boot; now < boot+set.Ramp; now += 50 * ms {
+			for i, r := range all {
+				n := r.h.nodes[server(0)]
+				r.h.now = now
+				for units := float64(1 + i%3); r.h.bears(n, units); {
+					n.sent = append(n.sent, mark{at: now, units: units})
+					sent = append(sent, mark{at: now, units: units})
+				}
+			}
+		}
+		for i, first := range sent {
+			sum := 0.0
+			for _, m := range sent[i:] {
+				if m.at > first.at+set.FallWindow {
+					break
+				}
+				sum += m.units
+			}
+			most := set.ColdUnits * (1 + 3*(first.at-boot).Seconds()/set.Ramp.Seconds())
+			if sum > most+1e-9 {
+				t.Fatalf("%d hosts: %v units from %v on, %v at most", hosts, sum, first.at-boot, most)
+			}
+		}
+		if len(sent) < 20 {
+			t.Errorf("%d hosts: starved, %d sends", hosts, len(sent))
+		}
+	}
+}
+
+// The same for a limit: hosts that use their parts to the last unit never send more than the store holds.
+func TestAllHostsTogetherStayWithinTheLimit(t *testing.T) {
+	const hosts = 8
+	set := settings()
+	set.Plans[0].Limit, set.Plans[0].Burst = 20, 100
+	total, level := 0.0, 100.0
+	var all []*rig
+	for range hosts {
+		all = append(all, start(t, set, 1))
+	}
+	begin := all[0].now
+	for now := begin; now < begin+30*time.Second; now += 20 * ms {
+		level = min(100, level+20*0.02)
+		for i, r := range all {
+			if now == begin+10*time.Second && i%2 == 0 { // killed and back: its store starts empty
+				all[i] = start(t, set, 1)
+				r = all[i]
+				r.h.born, r.h.now = now, now
+			}
+			r.h.now = now
+			v := r.h.volumeOf(Request{Volume: 1, Writers: hosts})
+			for u := float64(1 + i); r.h.limitLeft(v) >= u; {
+				v.limit.level -= u
+				level -= u
+				total += u
+			}
+		}
+		if level < -1e-6 {
+			t.Fatalf("the store is at %v after %v", level, now-begin)
+		}
+	}
+	if total < 400 {
+		t.Errorf("starved: %v units", total)
+	}
+}
