What a host measured while it stood still itself is not learned

A review that comes over 50 ms late shows the gap; it is set while attempts are out too. Covers pauses of the process and a starved machine; may hurt a host that is always that slow.

--- a/control/control.go
+++ b/control/control.go
@@ -30,10 +30,11 @@
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
-	fitFrom      = 16.0                 // answers before sizes are held to tell anything of times
-	fitOver      = 512.0                // answers over which that is learned
-	reviewEvery  = 5 * time.Millisecond // held requests are looked at this often while nothing else happens
-	watchAgain   = time.Second          // a lost watch is opened again after one to two of these
+	fitFrom      = 16.0                  // answers before sizes are held to tell anything of times
+	fitOver      = 512.0                 // answers over which that is learned
+	stallFrom    = 50 * time.Millisecond // a review that is this late means that the host itself stood still
+	reviewEvery  = 5 * time.Millisecond  // held requests are looked at this often while nothing else happens
+	watchAgain   = time.Second           // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
@@ -178,6 +179,9 @@
 	mean     float64       // running mean of sizes over all classes
 	usual    fit           // over all classes and nodes
 	review   bool          // a timer for the next review is pending
+	reviewBy time.Duration // when it is due
+	stalled  bool          // it came far too late: this host had no turn meanwhile
+	out      int           // attempts out
 	watched  bool          // the list was heard from since the watch was last asked for
 	watchAt  time.Duration // when to ask again if it was not
 	taken    []time.Duration
@@ -217,6 +221,9 @@
 // begin sets the clock; at the first event of a host's life it also opens the watch that an asking site
 // needs.
 func (h *Host) begin(now time.Duration) {
+	if now != h.now {
+		h.stalled = h.review && now > h.reviewBy+stallFrom
+	}
 	h.now = now
 	if h.alive {
 		return
@@ -240,8 +247,8 @@
 		h.triage(s)
 		held = held || len(s.queue) > 0
 	}
-	if held && !h.review {
-		h.review = true
+	if (held || h.out > 0) && !h.review {
+		h.review, h.reviewBy = true, h.now+reviewEvery
 		h.act(SetTimer{Token: tokenReview, After: reviewEvery})
 	}
 	acts := h.acts
@@ -719,6 +726,7 @@
 	}
 	r.shard.vt = max(r.shard.vt, r.start)
 	r.attempts++
+	h.out++
 	r.node, r.sentAt, r.unpinned = n, h.now, false
 	n.out = append(n.out, r)
 	n.used += r.cost
@@ -823,6 +831,7 @@
 	}
 	n := r.node
 	r.node = nil
+	h.out--
 	if !r.unpinned {
 		n.used -= r.cost
 	}
@@ -875,8 +884,10 @@
 
 // judge learns from an outcome how the node is doing. A time-out speaks of the node only if nothing that
 // the node answered is newer: else it was that one attempt that got lost, or the client's wait was short.
+// What a host measured while it stood still itself (a pause of its process, a machine that is short of CPU)
+// says little of the nodes: of such times only that the node answered counts.
 func (h *Host) judge(n *node, r *request, o Outcome) {
-	lost := o.Code == TimedOut && n.heardAt <= r.sentAt && o.Took > min(n.latency, h.leastAim/2)
+	lost := o.Code == TimedOut && !h.stalled && n.heardAt <= r.sentAt && o.Took > min(n.latency, h.leastAim/2)
 	silent := lost && o.Took > min(n.patience(), h.leastAim/2)
 	switch {
 	case o.Code == OK || o.Code == Error:
@@ -885,7 +896,7 @@
 		n.fails++
 		n.retryAt = h.now + h.pause(n, o.Code)
 	}
-	if o.Code == OK || lost {
+	if (o.Code == OK && !h.stalled) || lost {
 		off := o.Took - n.latency
 		if lost {
 			off = o.Took // it would have taken longer, by about the mean
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -65,6 +65,7 @@
 }
 
 func (r *rig) done(id uint32, attempt, node int, code Code, took time.Duration) []Action {
+	r.h.review = false // the rig hands in no reviews that lead up to this moment
 	return r.do(Outcome{ID: id, Attempt: attempt, Server: server(node), Code: code, Took: took,
 		Ended: code == OK})
 }
@@ -897,3 +898,48 @@
 		t.Errorf("starved: %v units", total)
 	}
 }
+
+// A host that had no turn for a while finds answers that seem to have taken as long: they say nothing of the
+// nodes, which must not be taken for slow, hung or failing.
+func TestOwnStallSaysNothingOfTheNodes(t *testing.T) {
+	for _, code := range []Code{OK, TimedOut} {
+		r := start(t, settings(), 1)
+		n := r.h.nodes[server(0)]
+		before := n.latency
+		r.do(r.ask(nil))
+		r.now += 900 * ms
+		r.do(Outcome{ID: 1, Server: server(0), Code: code, Took: 900 * ms, Ended: code == OK},
+			Timer{Token: tokenReview})
+		if n.latency != before || n.fails != 0 {
+			t.Errorf("code %d: latency %v, was %v; fails %d", code, n.latency, before, n.fails)
+		}
+		r.now += 10 * ms
+		r.do(Timer{Token: tokenReview})
+		if r.h.stalled {
+			t.Error("still held to have stalled")
+		}
+	}
+}
+
+// Odd input at full size: writers beyond the fleet, no shard for the data, an idle hour, a very long batch.
+func TestOddTrafficAtFullSize(t *testing.T) {
+	set := settings()
+	set.Hosts, set.Me = 220, 219
+	set.Plans[0].Limit, set.Plans[0].Burst = 10, 30
+	r := start(t, set, 3)
+	var evs []Event
+	for i := range 5000 {
+		evs = append(evs, r.ask(func(q *Request) {
+			q.Cell, q.Writers, q.Volume, q.Units = i%9-1, (i%3)*500, uint64(i%50), float64(i%9)
+			q.Expires = r.now + time.Duration(i%5)*ms
+		}))
+	}
+	r.do(evs...)
+	for range 100 {
+		r.pass(10 * ms)
+	}
+	r.pass(time.Hour)
+	if got := len(ends(r.acts)); got+r.h.out != 5000 {
+		t.Errorf("%d of 5000 answered, %d still out", got, r.h.out)
+	}
+}
