--- a/control/control.go
+++ b/control/control.go
@@ -669,8 +669,8 @@
 }
 
 // bears tells whether a node may be sent so many units more now. A cold one bears a stated figure in any
-// window over all hosts; this host uses its even part. Where hosts are so many that the part is less than a
-// usual request, they take turns of a window each, so many at a time that one fits: a window meets two turns
+// window over all hosts; this host uses its even part. Where hosts are so many that the part is less than the
+// least request, they take turns of a window each, so many at a time that one fits: a window meets two turns
 // at most, and those whose turn it is share half of the figure. Either way all hosts at once stay within it,
 // at the price that most of a cold shard's requests are refused where hosts are many.
 func (h *Host) bears(n *node, units float64) bool {
@@ -688,7 +688,7 @@
 		}
 	}
 	usual := max(h.set.MeanUnits, 1)
-	if h.part(h.set.ColdUnits) >= usual {
+	if h.part(h.set.ColdUnits) >= 1 {
 		return sent <= h.part(h.coldUnits(age-window))
 	}
 	turn, hosts := age/window, float64(max(h.set.Hosts, 1))
