--- a/control/control_test.go
+++ b/control/control_test.go
@@ -442,7 +442,7 @@
 	r.do(Members{Form: ListFull, Entries: []Entry{{Server: server(0), Status: Ready, Boot: r.now}}})
 	r.fix(64).latency = 250 * ms
 	units := func(u float64) Event { return r.ask(func(q *Request) { q.Units, q.Volume = u, uint64(u) }) }
-	want(t, "a part of half a unit, in its turn: one of 2 units, not of 3", sends(r.do(units(3), units(2), units(1))), 2)
+	want(t, "part of half a unit, in its turn: 2 units, not 3", sends(r.do(units(3), units(2), units(1))), 2)
 }
 
 // What a cold node serves counts less, what it does not answer counts in full.
