--- a/control/control.go
+++ b/control/control.go
@@ -43,6 +43,10 @@
 	tokenReview  = 1
 	tokenWatch   = 2
 	doublingsMax = 10
+	goneKeep     = 10 * time.Minute // a node gone for so long is forgotten
+	mostVolumes  = 1 << 16          // over so many, those that are idle keep no finish tag
+	sweepStep    = 2                // volumes looked at for each request taken, whether they may be forgotten
+	sumMargin    = 1e-6             // a running sum of units is off by far less than this part
 )
 
 // request is one client's try, from its arrival until it has its answer and no attempt of it is out.
@@ -67,6 +71,7 @@
 	queued   bool
 	ended    bool
 	unpinned bool          // its attempt costs no slots any more
+	marks    []markRef     // of its sends
 	unsure   time.Duration // when an attempt last ended without its work surely being over; 0: never
 }
 
@@ -111,6 +116,11 @@
 	s.at = now
 }
 
+// full tells whether the store would be full if it were filled now.
+func (s store) full(now time.Duration, rate, most float64) bool {
+	return s.level+rate*(now-s.at).Seconds() >= most
+}
+
 // volume is a flow.
 type volume struct {
 	plan    Plan
@@ -118,6 +128,8 @@
 	reserve store
 	limit   store
 	finish  map[*shard]float64 // last finish tag
+	id      uint64
+	live    int // requests that are not over
 }
 
 // shard is the queue of requests for one cell.
@@ -131,11 +143,47 @@
 
 // mark is a send that a cold node's budget remembers.
 type mark struct {
-	id    uint32
 	at    time.Duration
 	units float64
 }
 
+// markRef finds a mark again: the node and how many marks it had had before.
+type markRef struct {
+	node *node
+	nth  int
+}
+
+// line is a queue whose head leaves at no cost a step: what has left is cut off once it is half of all.
+type line[T any] struct {
+	all  []T
+	gone int // of all, no longer in the line
+	cut  int // cut off before that
+}
+
+func (l *line[T]) list() []T { return l.all[l.gone:] }
+
+func (l *line[T]) push(v T) { l.all = append(l.all, v) }
+
+// drop lets the head leave while old says so.
+func (l *line[T]) drop(old func(T) bool) {
+	for l.gone < len(l.all) && old(l.all[l.gone]) {
+		l.gone++
+	}
+	if 2*l.gone > len(l.all) {
+		n := copy(l.all, l.all[l.gone:])
+		clear(l.all[n:])
+		l.all, l.cut, l.gone = l.all[:n], l.cut+l.gone, 0
+	}
+}
+
+// at is the nth that was ever pushed, nil if it has left.
+func (l *line[T]) at(nth int) *T {
+	if nth < l.cut+l.gone {
+		return nil
+	}
+	return &l.all[nth-l.cut]
+}
+
 // node is a storage node's process as this host sees it.
 type node struct {
 	Entry
@@ -150,7 +198,17 @@
 	adaptedAt time.Duration
 	fails     int // in a row
 	retryAt   time.Duration
-	sent      []mark
+	sent      line[mark] // of the last FallWindow
+	sum       float64    // of its units, but for rounding
+	lastSent  time.Duration
+	everSent  bool
+	goneAt    time.Duration
+}
+
+// departure is the moment at which a node was first seen gone.
+type departure struct {
+	node *node
+	at   time.Duration
 }
 
 // chain holds the requests of one ordered key, oldest first.
@@ -171,7 +229,12 @@
 	reqs     map[uint32]*request
 	nodes    map[Server]*node
 	shards   []*shard // by cell
+	busy     []*shard // those with a queue, by cell
+	turn     []*shard // the same, as a batch ends
 	vols     map[uint64]*volume
+	volumes  []*volume // the same, in the order in which they are looked through
+	sweepAt  int
+	departed []departure
 	keys     map[uint64]*chain
 	resting  []uint64 // keys whose chain became empty, oldest first
 	seq      uint64
@@ -184,8 +247,8 @@
 	out      int           // attempts out
 	watched  bool          // the list was heard from since the watch was last asked for
 	watchAt  time.Duration // when to ask again if it was not
-	taken    []time.Duration
-	extras   []time.Duration
+	taken    line[time.Duration]
+	extras   line[time.Duration]
 }
 
 // New starts a host that knows nothing but its settings.
@@ -239,10 +302,8 @@
 func (h *Host) Decide(now time.Duration) []Action {
 	h.begin(now)
 	held := false
-	for _, s := range h.shards {
-		if len(s.queue) == 0 {
-			continue
-		}
+	h.turn = append(h.turn[:0], h.busy...)
+	for _, s := range h.turn {
 		h.dispatch(s)
 		h.triage(s)
 		held = held || len(s.queue) > 0
@@ -306,6 +367,7 @@
 		for id, n := range h.nodes {
 			if !listed[id] {
 				n.Status = Gone
+				h.depart(n)
 			}
 		}
 	}
@@ -313,6 +375,31 @@
 		h.enter(e)
 	}
 	h.assignNodes()
+	h.forgetNodes()
+}
+
+// depart notes when a node was first seen gone.
+func (h *Host) depart(n *node) {
+	if n.goneAt == 0 {
+		n.goneAt = h.now
+		h.departed = append(h.departed, departure{n, h.now})
+	}
+}
+
+// forgetNodes drops nodes that have been gone for very long, so that a fleet whose nodes come and go for
+// months does not pile them up. One that is listed again sooner is remembered as it was. It would hurt only
+// where a node comes back after that with the same start: its depth is learned anew.
+func (h *Host) forgetNodes() {
+	for len(h.departed) > 0 && h.now-h.departed[0].at >= goneKeep {
+		d := h.departed[0]
+		if d.node.goneAt == d.at {
+			if len(d.node.out) > 0 {
+				return
+			}
+			delete(h.nodes, d.node.Server)
+		}
+		h.departed = h.departed[1:]
+	}
 }
 
 // enter notes one entry. A fresh boot time means that the process restarted: what was learned of it is void.
@@ -327,6 +414,11 @@
 			h.target()/2, h.target()/4
 	}
 	n.Entry = e
+	if e.Status == Gone {
+		h.depart(n)
+	} else {
+		n.goneAt = 0
+	}
 	h.shardOf(int(e.Cell))
 }
 
@@ -350,11 +442,10 @@
 	}
 }
 
+func byCell(a, b *shard) int { return cmp.Compare(a.cell, b.cell) }
+
 func (h *Host) shardOf(cell int) *shard {
-	i, ok := slices.BinarySearchFunc(h.shards, cell, func(s *shard, c int) int {
-		return cmp.Compare(s.cell,
-			c)
-	})
+	i, ok := slices.BinarySearchFunc(h.shards, &shard{cell: cell}, byCell)
 	if !ok {
 		h.shards = slices.Insert(h.shards, i, &shard{cell: cell})
 	}
@@ -365,7 +456,8 @@
 
 func (h *Host) take(q Request) {
 	if h.set.Budget {
-		h.taken = append(h.taken, h.now)
+		h.taken.push(h.now)
+		h.taken.drop(h.outsideBudget)
 	}
 	if q.Class >= len(h.classes) || q.Expires <= h.now+sureMargin || (q.Cell < 0 && len(h.shards) == 0) {
 		h.act(Refuse{ID: q.ID})
@@ -387,6 +479,7 @@
 	r.aimBy = min(r.aimBy, q.Expires-sureMargin)
 	r.Units = max(q.Units, 1)
 	r.cost = c.slots(r.Units)
+	r.vol.live++
 	h.reqs[q.ID] = r
 	if c.InOrder && q.Key != 0 {
 		k := h.keys[q.Key]
@@ -403,6 +496,7 @@
 	}
 	h.tag(r)
 	h.enqueue(r)
+	h.forgetVolumes()
 }
 
 // slots is the design's slot cost: 1 up to the running mean of the class's sizes, the ratio above it.
@@ -421,7 +515,8 @@
 func (h *Host) volumeOf(q Request) *volume {
 	v := h.vols[q.Volume]
 	if v == nil {
-		v = &volume{finish: map[*shard]float64{}, limit: store{at: h.born}, reserve: store{at: h.now}}
+		v = &volume{id: q.Volume, finish: map[*shard]float64{}, limit: store{at: h.born},
+			reserve: store{at: h.now}}
 		if q.Plan < len(h.set.Plans) {
 			v.plan = h.set.Plans[q.Plan]
 		}
@@ -430,11 +525,56 @@
 		}
 		v.reserve.level = v.reserveMost(h.set.MostUnits)
 		h.vols[q.Volume] = v
+		h.volumes = append(h.volumes, v)
 	}
 	v.writers = max(1, float64(q.Writers), v.writers)
 	return v
 }
 
+// forgetVolumes looks at a few volumes in turn and drops those of which nothing is known any more that a new
+// one would not have too: nothing held, stores as full as a new one's, no finish tag ahead of its shard. It
+// guards against volumes seen once that pile up (objects of a day, scans by short jobs). Where each volume
+// comes once, no virtual time ever passes their tags: over mostVolumes the tags of idle ones are let go, at
+// the price that one of them that comes again soon may lead by what it had.
+func (h *Host) forgetVolumes() {
+	for range min(sweepStep, len(h.volumes)) {
+		if h.sweepAt >= len(h.volumes) {
+			h.sweepAt = 0
+		}
+		v := h.volumes[h.sweepAt]
+		if !h.forgettable(v) {
+			h.sweepAt++
+			continue
+		}
+		last := len(h.volumes) - 1
+		h.volumes[h.sweepAt], h.volumes[last] = h.volumes[last], nil
+		h.volumes = h.volumes[:last]
+		delete(h.vols, v.id)
+	}
+}
+
+func (h *Host) forgettable(v *volume) bool {
+	if v.live > 0 {
+		return false
+	}
+	limit, most := v.plan.Limit/v.writers, v.plan.Burst/v.writers
+	if v.plan.Limit > 0 && !(v.limit.full(h.now, limit, most) && store{at: h.born}.full(h.now, limit, most)) {
+		return false
+	}
+	if !v.reserve.full(h.now, v.plan.Reserve, v.reserveMost(h.set.MostUnits)) {
+		return false
+	}
+	if len(h.volumes) > mostVolumes {
+		return true
+	}
+	for s, finish := range v.finish {
+		if finish > s.vt {
+			return false
+		}
+	}
+	return true
+}
+
 func (v *volume) reserveMost(most float64) float64 {
 	if v.plan.Reserve <= 0 {
 		return 0
@@ -492,6 +632,10 @@
 	s := r.shard
 	i, _ := slices.BinarySearchFunc(s.queue, r, byTag)
 	s.queue = slices.Insert(s.queue, i, r)
+	if len(s.queue) == 1 {
+		at, _ := slices.BinarySearchFunc(h.busy, s, byCell)
+		h.busy = slices.Insert(h.busy, at, s)
+	}
 	s.units += r.Units
 	r.queued = true
 }
@@ -504,6 +648,9 @@
 	if i := slices.Index(s.queue, r); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
+	if at, ok := slices.BinarySearchFunc(h.busy, s, byCell); ok && len(s.queue) == 0 {
+		h.busy = slices.Delete(h.busy, at, at+1)
+	}
 	s.units -= r.Units
 	r.queued = false
 }
@@ -594,8 +741,7 @@
 // paced tells whether a bound under one slot holds the next send back: the last send's slot then counts for
 // longer than its attempt is out.
 func (h *Host) paced(n *node, bound float64) bool {
-	return bound < 1 && len(n.sent) > 0 &&
-		h.now-n.sent[len(n.sent)-1].at < seconds(n.latency.Seconds()/bound)
+	return bound < 1 && n.everSent && h.now-n.lastSent < seconds(n.latency.Seconds()/bound)
 }
 
 // patience is how long an attempt may be out before it is taken for lost or stuck.
@@ -658,16 +804,14 @@
 	if !h.set.Budget {
 		return true
 	}
-	old := func(at time.Duration) bool { return at < h.now-h.set.BudgetWindow }
-	h.extras = slices.DeleteFunc(h.extras, old)
-	kept := slices.IndexFunc(h.taken, func(at time.Duration) bool { return at > h.now-h.set.BudgetWindow })
-	if kept < 0 {
-		kept = len(h.taken)
-	}
-	h.taken = h.taken[kept:]
-	return float64(len(h.extras)+1) <= h.set.BudgetFloor+h.set.BudgetRatio*float64(len(h.taken))
+	h.extras.drop(func(at time.Duration) bool { return at < h.now-h.set.BudgetWindow })
+	h.taken.drop(h.outsideBudget)
+	return float64(len(h.extras.list())+1) <= h.set.BudgetFloor+h.set.BudgetRatio*float64(len(h.taken.list()))
 }
 
+// outsideBudget tells whether a request was taken too long ago to count.
+func (h *Host) outsideBudget(at time.Duration) bool { return at <= h.now-h.set.BudgetWindow }
+
 // bears tells whether a node may be sent so many units more now. A cold one bears a stated figure in any
 // window over all hosts; this host uses its even part. Where hosts are so many that the part is less than the
 // least request, they take turns of a window each, so many at a time that one fits: a window meets two turns
@@ -681,20 +825,45 @@
 	if n.Boot < h.born && h.now-h.born < window {
 		return false // a host just restarted does not know what it sent before: assume all
 	}
-	sent := units
-	for _, m := range n.sent {
-		if m.at >= h.now-window {
-			sent += m.units
-		}
-	}
 	usual := max(h.set.MeanUnits, 1)
 	if h.part(h.set.ColdUnits) >= 1 {
-		return sent <= h.part(h.coldUnits(age-window))
+		return h.fits(n, units, h.part(h.coldUnits(age-window)))
 	}
 	turn, hosts := age/window, float64(max(h.set.Hosts, 1))
 	half := h.coldUnits((turn-1)*window) / 2
 	turns := math.Ceil(hosts / max(1, math.Floor(half/usual)))
-	return math.Mod(float64(turn)+float64(h.set.Me), turns) == 0 && sent <= half/math.Ceil(hosts/turns)
+	mine := math.Mod(float64(turn)+float64(h.set.Me), turns) == 0
+	return mine && h.fits(n, units, half/math.Ceil(hosts/turns))
+}
+
+// fits tells whether units more stay within most in a window. Only where the running sum is too near to most
+// to tell are the sends added up one by one, so that the answer does not hang on rounding.
+func (h *Host) fits(n *node, units, most float64) bool {
+	h.forgetSent(n, max(h.set.FallWindow, 1))
+	sent := units + n.sum
+	if math.Abs(sent-most) > sumMargin*(1+most) {
+		return sent < most
+	}
+	sent = units
+	for _, m := range n.sent.list() {
+		sent += m.units
+	}
+	return sent <= most
+}
+
+// forgetSent drops what was sent before the window. The record of sends is kept for warm nodes too, since a
+// node that restarts is cold at once; it must cost the same however many there are.
+func (h *Host) forgetSent(n *node, window time.Duration) {
+	n.sent.drop(func(m mark) bool {
+		if m.at >= h.now-window {
+			return false
+		}
+		n.sum -= m.units
+		return true
+	})
+	if len(n.sent.list()) == 0 {
+		n.sum = 0
+	}
 }
 
 // coldUnits is what a node bears in a window that begins so long after its start: more as it is sure to warm.
@@ -707,10 +876,14 @@
 
 // relieve counts what a node has served by the multiple that the rule allows less: what it keeps up with
 // does not push it over, while what it does not answer counts in full.
-func (h *Host) relieve(n *node, id uint32) {
-	for i := range n.sent {
-		if n.sent[i].id == id && h.set.FallMultiple > 1 {
-			n.sent[i].units /= h.set.FallMultiple
+func (h *Host) relieve(n *node, r *request) {
+	for _, ref := range r.marks {
+		if ref.node != n || h.set.FallMultiple <= 1 {
+			continue // marks are counted by node: another's number means nothing here
+		}
+		if m := n.sent.at(ref.nth); m != nil {
+			n.sum -= m.units - m.units/h.set.FallMultiple
+			m.units /= h.set.FallMultiple
 		}
 	}
 }
@@ -718,7 +891,7 @@
 // send starts an attempt. The virtual time moves to the start tag of what leaves.
 func (h *Host) send(r *request, n *node) {
 	if h.set.Budget && r.attempts > 0 {
-		h.extras = append(h.extras, h.now)
+		h.extras.push(h.now)
 	}
 	if !r.charged {
 		r.charged = true
@@ -730,8 +903,11 @@
 	r.node, r.sentAt, r.unpinned = n, h.now, false
 	n.out = append(n.out, r)
 	n.used += r.cost
-	n.sent = slices.DeleteFunc(n.sent, func(m mark) bool { return m.at < h.now-h.set.FallWindow })
-	n.sent = append(n.sent, mark{r.ID, h.now, r.Units})
+	n.lastSent, n.everSent = h.now, true
+	h.forgetSent(n, h.set.FallWindow)
+	r.marks = append(r.marks, markRef{n, n.sent.cut + len(n.sent.all)})
+	n.sent.push(mark{h.now, r.Units})
+	n.sum += r.Units
 	h.act(Send{ID: r.ID, Server: n.Server, Allow: h.allow(r)})
 }
 
@@ -788,6 +964,7 @@
 		return
 	}
 	delete(h.reqs, r.ID)
+	r.vol.live--
 	k := h.keys[r.Key]
 	if !r.class.InOrder || r.Key == 0 || k == nil {
 		return
@@ -837,7 +1014,7 @@
 	}
 	n.out = slices.DeleteFunc(n.out, func(q *request) bool { return q == r })
 	if o.Code == OK {
-		h.relieve(n, r.ID)
+		h.relieve(n, r)
 	}
 	h.judge(n, r, o)
 	h.settle(r, n, o)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -839,7 +839,8 @@
 				n := r.h.nodes[server(0)]
 				r.h.now = now
 				for units := float64(1 + i%3); r.h.bears(n, units); {
-					n.sent = append(n.sent, mark{at: now, units: units})
+					n.sent.push(mark{now, units})
+					n.sum += units
 					sent = append(sent, mark{at: now, units: units})
 				}
 			}
--- /dev/null
+++ b/control/scale_test.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// scaleSettings are those of a fleet with everything in force that keeps records over time.
+func scaleSettings() Settings {
+	set := settings()
+	set.Ramp, set.FallWindow, set.FallMultiple, set.ColdUnits = 10*time.Second, 3*time.Second, 2, 50
+	set.Budget, set.BudgetFloor, set.BudgetRatio, set.BudgetWindow = true, 5, 0.1, 10*time.Second
+	return set
+}
+
+// steady drives one host at a rate: each request is answered a little later by its node.
+type steady struct {
+	h     *Host
+	now   time.Duration
+	gap   time.Duration
+	nodes int
+	next  uint32
+	out   []Send // oldest first
+}
+
+func newSteady(set Settings, rate, nodes int, boot time.Duration) *steady {
+	s := &steady{h: New(1, set), now: time.Hour, gap: time.Second / time.Duration(rate), nodes: nodes}
+	m := Members{Form: ListFull}
+	for i := range nodes {
+		m.Entries = append(m.Entries, Entry{Server: Server{Addr: [4]byte{10, 0, byte(i >> 8), byte(i)}, Port: 1},
+			Status: Ready, Cell: uint16(i), Boot: boot})
+	}
+	s.h.Handle(s.now, m)
+	s.h.Decide(s.now)
+	return s
+}
+
+// step takes one request of the volume in and, once a few are out, ends the oldest attempt.
+func (s *steady) step(volume uint64) {
+	s.now += s.gap
+	s.h.Handle(s.now, Request{ID: s.next, Cell: int(s.next) % s.nodes, Writers: 1, Volume: volume,
+		Expires: s.now + time.Second, Units: 1})
+	s.next++
+	s.decide()
+	if len(s.out) > 4 {
+		done := s.out[0]
+		s.out = s.out[1:]
+		s.h.Handle(s.now, Outcome{ID: done.ID, Server: done.Server, Code: OK, Took: time.Millisecond, Ended: true})
+		s.decide()
+	}
+}
+
+func (s *steady) decide() {
+	for _, a := range s.h.Decide(s.now) {
+		if a, ok := a.(Send); ok {
+			s.out = append(s.out, a)
+		}
+	}
+}
+
+// BenchmarkRequest shows the cost of one request by the rate at which they come and by the number of nodes.
+func BenchmarkRequest(b *testing.B) {
+	for _, nodes := range []int{10, 100, 1000} {
+		for _, rate := range []int{1_000, 10_000, 100_000} {
+			for _, cold := range []bool{false, true} {
+				boot := time.Duration(0)
+				if cold {
+					boot = time.Second // known, and long warm: the record of sends must not be looked through
+				}
+				b.Run(fmt.Sprintf("nodes=%d/rate=%d/booted=%v", nodes, rate, cold), func(b *testing.B) {
+					s := newSteady(scaleSettings(), rate, nodes, boot)
+					for range 4 * rate { // past the window of the record
+						s.step(uint64(s.next % 64))
+					}
+					b.ResetTimer()
+					for range b.N {
+						s.step(uint64(s.next % 64))
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkManyVolumes shows what volumes that are seen once leave behind.
+func BenchmarkManyVolumes(b *testing.B) {
+	s := newSteady(scaleSettings(), 100_000, 10, 0)
+	for range b.N {
+		s.step(uint64(s.next))
+	}
+	b.ReportMetric(float64(len(s.h.vols)), "volumes-kept")
+}
+
+// Volumes that were seen once are forgotten, so that a million of them take no more memory than the few that
+// came lately; so are the records of taken requests, of sends and of keys.
+func TestAMillionVolumesSeenOnceAreForgotten(t *testing.T) {
+	set := scaleSettings()
+	s := newSteady(set, 100_000, 10, 0)
+	for range 200_000 {
+		s.step(uint64(s.next))
+	}
+	kept, heap := len(s.h.vols), heapInUse()
+	for range 800_000 {
+		s.step(uint64(s.next))
+	}
+	if got := len(s.h.vols); got > 2*kept+1000 || got > 500_000 {
+		t.Errorf("%d volumes kept after 1,000,000, %d after 200,000", got, kept)
+	}
+	if len(s.h.vols) != len(s.h.volumes) {
+		t.Errorf("%d volumes known, %d looked through", len(s.h.vols), len(s.h.volumes))
+	}
+	if got := heapInUse(); got > 2*heap+(64<<20) {
+		t.Errorf("heap %d MiB after 1,000,000, %d MiB after 200,000", got>>20, heap>>20)
+	}
+	for _, n := range s.h.nodes {
+		if got, most := len(n.sent.all), 2*100_000*3/10+1000; got > 2*most {
+			t.Errorf("%d sends remembered, %d in the window", got, most)
+		}
+	}
+	runtime.KeepAlive(s)
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// A volume that is forgotten and comes again is held to its limit and reserve as one that was known all along.
+func TestAForgottenVolumeGetsNothingNew(t *testing.T) {
+	set := scaleSettings()
+	set.Plans[0].Limit, set.Plans[0].Burst, set.Plans[0].Reserve, set.MostUnits = 10, 20, 2, 4
+	s := newSteady(set, 1000, 4, 0)
+	for range 10_000 {
+		s.step(7)
+	}
+	spent := s.h.vols[7].limit.level
+	if spent > 1 {
+		t.Fatalf("the limit of a volume asked for 1000 a second still holds %v", spent)
+	}
+	for range 500 { // others come: not enough time for the limit to fill
+		s.step(8)
+	}
+	if s.h.vols[7] == nil {
+		t.Fatal("forgotten while its limit's store is not full")
+	}
+	for i := range 20_000 {
+		s.step(uint64(9 + i%3))
+	}
+	if s.h.vols[7] != nil {
+		t.Fatal("still known long after its stores filled")
+	}
+	if v := s.h.volumeOf(Request{Volume: 7, Writers: 1}); s.h.limitLeft(v) > 20 {
+		t.Errorf("a forgotten volume has %v units, its store holds 20", s.h.limitLeft(v))
+	}
+}
+
+// Nodes that are gone for very long are forgotten; those that come back in time are not, and one whose
+// attempt is still out stays until that is over.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	s := newSteady(scaleSettings(), 1000, 3, 0)
+	all := []Entry{}
+	for _, n := range s.h.nodes {
+		all = append(all, n.Entry)
+	}
+	one := all[:1]
+	s.h.Handle(s.now, Members{Form: ListFull, Entries: one})
+	s.now += goneKeep / 2
+	s.h.Handle(s.now, Members{Form: ListFull, Entries: all[:2]})
+	s.now += goneKeep/2 + time.Second
+	s.h.Handle(s.now, Members{Form: ListFull, Entries: one})
+	if len(s.h.nodes) != 2 {
+		t.Fatalf("%d nodes known, want the listed one and the one that went just now", len(s.h.nodes))
+	}
+	s.now += goneKeep + time.Second
+	s.h.Handle(s.now, Members{Form: ListFull, Entries: one})
+	if len(s.h.nodes) != 1 || len(s.h.departed) != 0 {
+		t.Fatalf("%d nodes known and %d departures, want 1 and 0", len(s.h.nodes), len(s.h.departed))
+	}
+}
+
+// An answer from a node finds its own request's mark, never one of another node with the same number: a new
+// object that moved on had marks at two nodes, and the number of the one was looked for at the other.
+func TestMarksAreTheNodesOwn(t *testing.T) {
+	set := scaleSettings()
+	h := New(1, set)
+	a, b := &node{}, &node{}
+	for range 50 {
+		a.sent.push(mark{time.Second, 4})
+	}
+	b.sent.push(mark{time.Second, 4})
+	r := &request{marks: []markRef{{a, 49}, {b, 0}}}
+	h.relieve(b, r)
+	if got := b.sent.list()[0].units; got != 2 {
+		t.Errorf("the answering node's mark counts %v, want 2", got)
+	}
+	if got := a.sent.list()[49].units; got != 4 {
+		t.Errorf("the other node's mark counts %v, want 4", got)
+	}
+}
+
+// The line forgets from its head, keeps numbers, and takes no more than twice what it holds.
+func TestLine(t *testing.T) {
+	var l line[int]
+	for i := range 10_000 {
+		l.push(i)
+		l.drop(func(v int) bool { return v < i-9 })
+		if got := l.list(); got[len(got)-1] != i || len(got) > 10 || len(l.all) > 40 {
+			t.Fatalf("after %d: %v of %d", i, got, len(l.all))
+		}
+		if i > 20 {
+			if l.at(i-20) != nil || *l.at(i - 5) != i-5 {
+				t.Fatalf("after %d: the numbers are off", i)
+			}
+		}
+	}
+}
