--- /dev/null
+++ b/cmd/landingpaddle/day.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"landingpaddle/internal/config"
+	"landingpaddle/internal/lab"
+	"landingpaddle/internal/sched"
+	"landingpaddle/internal/sexpr"
+)
+
+type dayCmd struct {
+	File     string `arg:"" optional:"" type:"existingfile" help:"Day file; without it the embedded bad day."`
+	Seed     uint64 `default:"1" help:"Seed of traffic, nodes and instances."`
+	LogDir   string `help:"Write the logs here, for audit."`
+	JSON     bool   `help:"Print the verdicts as JSON."`
+	Baseline bool   `help:"Play the day again with everything sent at once, and compare what was served."`
+	Verbose  bool   `help:"Show the instances' logs."`
+}
+
+// siteFile is the site's settings beside the logs, which the audit needs.
+const siteFile = "site.lisp"
+
+type dayResult struct {
+	Day      string        `json:"day"`
+	Seed     uint64        `json:"seed"`
+	Verdicts []lab.Verdict `json:"rules"`
+	Worth    lab.Worth     `json:"worth"`
+	Baseline *lab.Worth    `json:"baseline,omitempty"`
+	NotAsked int64         `json:"not_asked,omitempty"`
+}
+
+// Run plays the day; a broken rule is an error.
+func (c *dayCmd) Run(out io.Writer) error {
+	day, err := lab.BadDay()
+	if c.File != "" {
+		day, err = lab.ReadDay(c.File)
+	}
+	if err != nil {
+		return err
+	}
+	played, err := c.play(&day, sched.Hooks{})
+	if err != nil {
+		return err
+	}
+	if c.LogDir != "" {
+		if err := writeLogs(c.LogDir, &day.Site, played.Events); err != nil {
+			return err
+		}
+	}
+	r := dayResult{Day: day.Name, Seed: c.Seed, Verdicts: lab.Audit(&day.Site, played.Events),
+		Worth: lab.WorthOf(&day.Site, played.Events), NotAsked: played.NotAsked}
+	if c.Baseline {
+		base, err := c.play(&day, lab.Baseline(nil))
+		if err != nil {
+			return err
+		}
+		worth := lab.WorthOf(&day.Site, base.Events)
+		r.Baseline = &worth
+	}
+	return r.print(out, c.JSON)
+}
+
+func (c *dayCmd) play(day *lab.Day, hooks sched.Hooks) (*lab.Played, error) {
+	dir, err := os.MkdirTemp("", "landingpaddle-day-*")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	opt := lab.Options{Seed: c.Seed, Dir: dir, Hooks: hooks}
+	if c.Verbose {
+		if opt.Log, err = logger("info", false); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := signals(func() {})
+	defer cancel()
+	return lab.Play(ctx, day, opt)
+}
+
+func writeLogs(dir string, site *config.Site, events []lab.Event) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text := []byte(sexpr.Print("site", site))
+	if err := os.WriteFile(filepath.Join(dir, siteFile), text, 0o644); err != nil {
+		return err
+	}
+	return lab.WriteEvents(filepath.Join(dir, "day.jsonl"), events)
+}
+
+func (r *dayResult) print(out io.Writer, asJSON bool) error {
+	broken := 0
+	for _, v := range r.Verdicts {
+		if !v.Kept {
+			broken++
+		}
+	}
+	if asJSON {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(out, "%s, seed %d\n", r.Day, r.Seed)
+		printVerdicts(out, r.Verdicts)
+		printWorth(out, "served", r.Worth)
+		if r.Baseline != nil {
+			printWorth(out, "sent at once", *r.Baseline)
+		}
+	}
+	if broken > 0 {
+		return errBroken{fmt.Sprintf("%d of %d rules broken", broken, len(r.Verdicts))}
+	}
+	return nil
+}
+
+func printVerdicts(out io.Writer, verdicts []lab.Verdict) {
+	for _, v := range verdicts {
+		word := "kept"
+		if !v.Kept {
+			word = fmt.Sprintf("BROKEN %d times, first: %s", v.Breaks, v.First)
+		}
+		fmt.Fprintf(out, "  %-8s judged %6d  %s\n", v.Rule, v.Judged, word)
+	}
+}
+
+func printWorth(out io.Writer, what string, w lab.Worth) {
+	fmt.Fprintf(out,
+		"  %s: worth %.3f of what was asked; %d asked, %d in time, %d late, %d refused, %d failed, "+
+			"%d without answer; %d sends, %d of them for nothing\n",
+		what, w.Share, w.Asked, w.InTime, w.Late,
+		w.Refused, w.Failed, w.None, w.Sends, w.Wasted)
+}
+
+type auditCmd struct {
+	Dir  string `arg:"" type:"existingdir" help:"Folder with logs (*.jsonl) and the settings (site.lisp)."`
+	JSON bool   `help:"Print the verdicts as JSON."`
+}
+
+// Run judges logs; a broken rule is an error.
+func (c *auditCmd) Run(out io.Writer) error {
+	site := config.DefaultSite()
+	if err := config.Load(filepath.Join(c.Dir, siteFile), "site", &site); err != nil {
+		return err
+	}
+	events, err := lab.ReadDir(c.Dir)
+	if err != nil {
+		return err
+	}
+	r := dayResult{Day: c.Dir, Verdicts: lab.Audit(&site, events)}
+	r.Worth = lab.WorthOf(&site, events)
+	return r.print(out, c.JSON)
+}
+
+type checkCmd struct {
+	File string `arg:"" type:"existingfile" help:"Settings file: an instance, node, list or day."`
+}
+
+// Run prints the settings in force, defaults included.
+func (c *checkCmd) Run(out io.Writer) error {
+	nodes, err := sexpr.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	if len(nodes) == 0 {
+		return sexpr.Errorf(sexpr.Pos{File: c.File, Line: 1, Col: 1}, "nothing here")
+	}
+	head := nodes[0].Head()
+	inst, node := config.DefaultInstance(), config.DefaultNode()
+	list, day := config.DefaultList(), lab.DefaultDay()
+	into := map[string]any{"instance": &inst, "node": &node, "list": &list, "day": &day}[head]
+	if into == nil {
+		return sexpr.Errorf(nodes[0].Pos, "found %q; want instance, node, list or day", head)
+	}
+	if err := sexpr.One(nodes, c.File, head, into); err != nil {
+		return err
+	}
+	_, err = io.WriteString(out, sexpr.Print(head, into))
+	return err
+}
--- /dev/null
+++ b/cmd/landingpaddle/main.go
@@ -0,0 +1,94 @@
+// Command landingpaddle is the storage gateway: it runs instances of the scheduler, the stand-ins to run them
+// against, scripted days, and the audit of what passed on the sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type cli struct {
+	Serve serveCmd `cmd:"" help:"Run one instance of the scheduler from a settings file (instance …)."`
+	Node  nodeCmd  `cmd:"" help:"Run a stand-in storage node from a settings file (node …)."`
+	List  listCmd  `cmd:"" help:"Run a stand-in list service from a settings file (list …)."`
+	Call  callCmd  `cmd:"" help:"Send requests to an instance as a stand-in client."`
+	Day   dayCmd   `cmd:"" help:"Play a whole day on loopback sockets in this process and judge the rules."`
+	Check checkCmd `cmd:"" help:"Check a settings file and print the settings in force."`
+	Audit auditCmd `cmd:"" help:"Judge the rules from the logs in a folder."`
+}
+
+// errBroken ends a command whose verdict has been printed already.
+type errBroken struct{ what string }
+
+func (e errBroken) Error() string { return e.what }
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run is the program; it returns the exit code: 0 all well, 1 a rule broken or a failure, 2 bad use.
+func run(args []string, out, errs io.Writer) int {
+	var c cli
+	code := -1
+	parser, err := kong.New(&c, kong.Name("landingpaddle"), kong.UsageOnError(),
+		kong.Description("A storage gateway that schedules a host's reads and writes over storage nodes."),
+		kong.Writers(out, errs), kong.Exit(func(n int) { code = n }))
+	if err != nil {
+		fmt.Fprintln(errs, "landingpaddle:", err)
+		return 2
+	}
+	k, err := parser.Parse(args)
+	if code >= 0 {
+		return code // help was asked for
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "landingpaddle:", err)
+		return 2
+	}
+	k.BindTo(out, (*io.Writer)(nil))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(errs, "landingpaddle:", err)
+		return 1
+	}
+	return 0
+}
+
+// signals returns a context that ends at the second SIGINT or SIGTERM; first is called at the first.
+func signals(first func()) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	got := make(chan os.Signal, 2)
+	signal.Notify(got, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		defer signal.Stop(got)
+		select {
+		case <-got:
+			first()
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-got:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// logger writes structured logs to standard error.
+func logger(level string, asJSON bool) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, fmt.Errorf("log level %q: want debug, info, warn or error", level)
+	}
+	opt := &slog.HandlerOptions{Level: l}
+	if asJSON {
+		return slog.New(slog.NewJSONHandler(os.Stderr, opt)), nil
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, opt)), nil
+}
--- /dev/null
+++ b/cmd/landingpaddle/serve.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"net"
+	"net/netip"
+
+	"landingpaddle/internal/config"
+	"landingpaddle/internal/nodelist"
+	"landingpaddle/internal/sched"
+)
+
+type serveCmd struct {
+	Config string `arg:"" type:"existingfile" help:"Settings file (instance …)."`
+}
+
+// Run serves until the first signal, then answers what is held and ends; a second signal ends it at once.
+func (s *serveCmd) Run() error {
+	set := config.DefaultInstance()
+	if err := config.Load(s.Config, "instance", &set); err != nil {
+		return err
+	}
+	log, err := logger(set.LogLevel, set.LogJSON)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp4", set.Listen.String())
+	if err != nil {
+		return err
+	}
+	cfg := sched.Config{Number: set.Number, Of: set.Of, Zone: uint8(set.Site.Zone(set.Zone)), Seed: set.Seed,
+		Site: set.Site, Listener: ln, List: set.List.String(), Kept: nodelist.File{Path: set.KeptList},
+		StopWithin: set.StopWithin, Log: log}
+	if set.PeerListen.IsValid() {
+		cfg.PeerListen, cfg.Peers = set.PeerListen.String(), map[uint32]netip.AddrPort{}
+		for _, p := range set.Peers {
+			cfg.Peers[p.Number] = p.Addr.AddrPort
+		}
+	}
+	inst, err := sched.New(cfg)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	ctx, cancel := signals(inst.Stop)
+	defer cancel()
+	return inst.Run(ctx)
+}
--- a/control/scale_test.go
+++ b/control/scale_test.go
@@ -29,8 +29,8 @@
 	s := &steady{h: New(1, set), now: time.Hour, gap: time.Second / time.Duration(rate), nodes: nodes}
 	m := Members{Form: ListFull}
 	for i := range nodes {
-		m.Entries = append(m.Entries, Entry{Server: Server{Addr: [4]byte{10, 0, byte(i >> 8), byte(i)}, Port: 1},
-			Status: Ready, Cell: uint16(i), Boot: boot})
+		at := Server{Addr: [4]byte{10, 0, byte(i >> 8), byte(i)}, Port: 1}
+		m.Entries = append(m.Entries, Entry{Server: at, Status: Ready, Cell: uint16(i), Boot: boot})
 	}
 	s.h.Handle(s.now, m)
 	s.h.Decide(s.now)
@@ -47,7 +47,7 @@
 	if len(s.out) > 4 {
 		done := s.out[0]
 		s.out = s.out[1:]
-		s.h.Handle(s.now, Outcome{ID: done.ID, Server: done.Server, Code: OK, Took: time.Millisecond, Ended: true})
+		s.h.Handle(s.now, Outcome{ID: done.ID, Server: done.Server, Code: OK, Took: ms, Ended: true})
 		s.decide()
 	}
 }
@@ -93,7 +93,7 @@
 	b.ReportMetric(float64(len(s.h.vols)), "volumes-kept")
 }
 
-// Volumes that were seen once are forgotten, so that a million of them take no more memory than the few that
+// Volumes that were seen once are forgotten, so that a million of them take no more memory than those that
 // came lately; so are the records of taken requests, of sends and of keys.
 func TestAMillionVolumesSeenOnceAreForgotten(t *testing.T) {
 	set := scaleSettings()
@@ -129,7 +129,7 @@
 	return m.HeapAlloc
 }
 
-// A volume that is forgotten and comes again is held to its limit and reserve as one that was known all along.
+// A volume that is forgotten and comes again is held to its limit as one that was known all along.
 func TestAForgottenVolumeGetsNothingNew(t *testing.T) {
 	set := scaleSettings()
 	set.Plans[0].Limit, set.Plans[0].Burst, set.Plans[0].Reserve, set.MostUnits = 10, 20, 2, 4
--- /dev/null
+++ b/internal/config/site.go
@@ -0,0 +1,233 @@
+// Package config is the typed form of settings: what a file may say, its defaults and checks, and how it
+// becomes the module's settings. Files are S-expressions; errors name file:line:col.
+package config
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/sexpr"
+)
+
+// Repeat is control.Repeat in settings.
+type Repeat control.Repeat
+
+var repeatNames = []string{"safe", "keyed", "unsafe"}
+
+// UnmarshalText reads safe, keyed or unsafe.
+func (r *Repeat) UnmarshalText(text []byte) error { return word(r, text, repeatNames) }
+
+func (r Repeat) String() string { return repeatNames[r] }
+
+// Group is control.Group in settings.
+type Group control.Group
+
+var groupNames = []string{"all", "zone", "cell"}
+
+// UnmarshalText reads all, zone or cell.
+func (g *Group) UnmarshalText(text []byte) error { return word(g, text, groupNames) }
+
+func (g Group) String() string { return groupNames[g] }
+
+func word[T ~uint8](to *T, text []byte, names []string) error {
+	i := slices.Index(names, string(text))
+	if i < 0 {
+		return fmt.Errorf("found %q; want one of %v", text, names)
+	}
+	*to = T(i)
+	return nil
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name     string        `s:",arg"`
+	Aim      time.Duration `s:"aim,required" min:"1ms" max:"1h"`
+	Deadline time.Duration `s:"deadline,required" min:"1ms" max:"1h"`
+	Repeat   Repeat        `s:"repeat"`
+	Group    Group         `s:"group"`
+	Window   time.Duration `s:"window" min:"0s" max:"1h"`
+	InOrder  bool          `s:"in-order"`
+	Writes   bool          `s:"writes"`
+	Worth    float64       `s:"worth" min:"0"`
+	Late     float64       `s:"late" min:"0" max:"1"`
+}
+
+// Check holds what binds fields to one another.
+func (c *Class) Check() error {
+	switch {
+	case c.Aim > c.Deadline:
+		return fmt.Errorf("class %s: aim %v is after its deadline %v", c.Name, c.Aim, c.Deadline)
+	case c.Repeat == Repeat(control.Keyed) && c.Window == 0:
+		return fmt.Errorf("class %s is keyed; want (window …), in which its group drops repeats", c.Name)
+	}
+	return nil
+}
+
+// Plan is one plan. Rates are in units a second over all instances and nodes.
+type Plan struct {
+	Name    string  `s:",arg"`
+	Rate    float64 `s:"rate,required" min:"0"`
+	Reserve float64 `s:"reserve" min:"0"`
+	Weight  float64 `s:"weight" min:"0"`
+	Limit   float64 `s:"limit" min:"0"`
+	Burst   float64 `s:"burst" min:"0"`
+	Slack   float64 `s:"slack" min:"0"`
+	Worth   float64 `s:"worth" min:"0"`
+}
+
+// Check holds what binds fields to one another.
+func (p *Plan) Check() error {
+	if p.Limit > 0 && p.Burst <= 0 {
+		return fmt.Errorf("plan %s has a limit; want (burst …), the units that its store holds", p.Name)
+	}
+	return nil
+}
+
+// Budget rations attempts beyond each request's first.
+type Budget struct {
+	Floor  float64       `s:"floor" min:"0"`
+	Ratio  float64       `s:"ratio" min:"0"`
+	Window time.Duration `s:"window,required" min:"1ms" max:"10m"`
+}
+
+// Rules are the figures of the seven rules.
+type Rules struct {
+	AnswerSlack  time.Duration `s:"answer-slack" min:"0s" max:"10s"`
+	DrainGrace   time.Duration `s:"drain-grace" min:"0s" max:"1m"`
+	ColdShare    float64       `s:"cold-share" min:"0" max:"1"`
+	ColdUnits    float64       `s:"cold-units" min:"0"`
+	Ramp         time.Duration `s:"ramp" min:"0s" max:"1h"`
+	FallWindow   time.Duration `s:"fall-window" min:"0s" max:"10m"`
+	FallMultiple float64       `s:"fall-multiple" min:"0"`
+	OrderPause   time.Duration `s:"order-pause" min:"0s" max:"1m"`
+	AskWithin    time.Duration `s:"ask-within" min:"0s" max:"1h"`
+	Budget       *Budget       `s:"budget"`
+}
+
+// Limits are what the site allows.
+type Limits struct {
+	Attempts       int           `s:"attempts" min:"1" max:"16"`
+	Open           int           `s:"open" min:"1" max:"1000000"`
+	Cancel         bool          `s:"cancel"`
+	Probes         bool          `s:"probes"`
+	SecondCopies   bool          `s:"second-copies"`
+	RetryAfter     bool          `s:"retry-after"`
+	MaxRetryAfter  time.Duration `s:"max-retry-after" min:"0s" max:"10m"`
+	ConnectTimeout time.Duration `s:"connect-timeout" min:"1ms" max:"1m"`
+	IdleClose      time.Duration `s:"idle-close" min:"100ms" max:"24h"`
+	Silence        time.Duration `s:"silence" min:"100ms" max:"1h"`
+	Streams        int           `s:"streams" min:"1" max:"65536"`
+	NodeConns      int           `s:"node-connections" min:"1" max:"1024"`
+	ClientConns    int           `s:"client-connections" min:"1" max:"65536"`
+	Payload        sexpr.Size    `s:"payload" min:"0B" max:"1GiB"`
+	Tick           time.Duration `s:"tick" min:"0s" max:"1s"`
+	Transit        time.Duration `s:"transit" min:"0s" max:"1s"`
+	ClockSkew      time.Duration `s:"clock-skew" min:"0s" max:"1m"`
+}
+
+// Site is what all instances, nodes and clients of a fleet agree on.
+type Site struct {
+	Zones     []string      `s:"zones"`
+	Ask       bool          `s:"ask"`
+	MeanUnits float64       `s:"mean-units" min:"0"`
+	MostUnits float64       `s:"most-units" min:"1"`
+	Meter     time.Duration `s:"meter" min:"0s" max:"10m"`
+	Elsewhere bool          `s:"elsewhere"`
+	Load      []string      `s:"load"`
+	Retries   bool          `s:"retries-known"`
+	Share     float64       `s:"share-worth" min:"0" max:"1"`
+	Spare     float64       `s:"spare-worth" min:"0" max:"1"`
+	Classes   []Class       `s:"class"`
+	Plans     []Plan        `s:"plan"`
+	Rules     Rules         `s:"rules"`
+	Limits    Limits        `s:"limits"`
+}
+
+// DefaultSite is a site before its file is read.
+func DefaultSite() Site {
+	return Site{Zones: []string{"a"}, MeanUnits: 2, MostUnits: 8, Share: 0.3, Spare: 0.08,
+		Rules: Rules{AnswerSlack: 50 * time.Millisecond, DrainGrace: time.Second},
+		Limits: Limits{Attempts: 3, Open: 20_000, Cancel: true, RetryAfter: true,
+			MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond,
+			IdleClose: 15 * time.Second, Silence: 10 * time.Second, Streams: 128, NodeConns: 4,
+			ClientConns: 1024, Payload: 8 << 20, Tick: 200 * time.Microsecond,
+			Transit: 5 * time.Millisecond, ClockSkew: 100 * time.Millisecond}}
+}
+
+// Check holds what binds fields to one another, and fills what follows from others.
+func (s *Site) Check() error {
+	if len(s.Classes) == 0 || len(s.Plans) == 0 {
+		return fmt.Errorf("a site has at least one (class …) and one (plan …)")
+	}
+	if len(s.Zones) == 0 || len(s.Zones) > 255 {
+		return fmt.Errorf("a site has 1 to 255 zones, not %d", len(s.Zones))
+	}
+	names := map[string]bool{}
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		if names["class "+c.Name] {
+			return fmt.Errorf("class %s stands twice", c.Name)
+		}
+		names["class "+c.Name] = true
+		if c.Worth == 0 {
+			c.Worth = 1
+		}
+	}
+	for i := range s.Plans {
+		p := &s.Plans[i]
+		if names["plan "+p.Name] {
+			return fmt.Errorf("plan %s stands twice", p.Name)
+		}
+		names["plan "+p.Name] = true
+		if p.Weight == 0 {
+			p.Weight = 1
+		}
+		if p.Worth == 0 {
+			p.Worth = 1
+		}
+	}
+	r := s.Rules
+	if r.Ramp > 0 && (r.ColdUnits <= 0 || r.FallWindow <= 0 || r.FallMultiple <= 1) {
+		return fmt.Errorf("nodes that start cold (ramp %v) need cold-units, fall-window, fall-multiple",
+			r.Ramp)
+	}
+	return nil
+}
+
+// ClassNumber finds a class by its name.
+func (s *Site) ClassNumber(name string) int {
+	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
+}
+
+// PlanNumber finds a plan by its name.
+func (s *Site) PlanNumber(name string) int {
+	return slices.IndexFunc(s.Plans, func(p Plan) bool { return p.Name == name })
+}
+
+// Control turns the site's settings into those of one instance's module.
+func (s *Site) Control(me, hosts int, zone uint8, peers bool) control.Settings {
+	set := control.Settings{Me: me, Hosts: hosts, Ask: s.Ask, MaxAttempts: s.Limits.Attempts,
+		Probes: s.Limits.Probes, Peers: peers, Cancel: s.Limits.Cancel, SecondCopies: s.Limits.SecondCopies,
+		RetryAfter: s.Limits.RetryAfter, MaxRetryAfter: s.Limits.MaxRetryAfter,
+		ConnectTimeout: s.Limits.ConnectTimeout, Tick: s.Limits.Tick, MeanUnits: s.MeanUnits,
+		MostUnits: s.MostUnits, ColdUnits: s.Rules.ColdUnits, MeterPeriod: s.Meter, ShareWorth: s.Share,
+		SpareWorth: s.Spare, AskWithin: s.Rules.AskWithin, ColdShare: s.Rules.ColdShare, Ramp: s.Rules.Ramp,
+		FallWindow: s.Rules.FallWindow, FallMultiple: s.Rules.FallMultiple, DrainGrace: s.Rules.DrainGrace,
+		OrderPause: s.Rules.OrderPause, LoadFields: s.Load, Zone: zone, TellsElsewhere: s.Elsewhere,
+		RetriesAreKnown: s.Retries}
+	if b := s.Rules.Budget; b != nil {
+		set.Budget, set.BudgetFloor, set.BudgetRatio, set.BudgetWindow = true, b.Floor, b.Ratio, b.Window
+	}
+	for _, c := range s.Classes {
+		set.Classes = append(set.Classes, control.Class{Aim: c.Aim, Deadline: c.Deadline,
+			Repeat: control.Repeat(c.Repeat), Group: control.Group(c.Group), Window: c.Window,
+			InOrder: c.InOrder, Writes: c.Writes, Worth: c.Worth, Late: c.Late})
+	}
+	for _, p := range s.Plans {
+		set.Plans = append(set.Plans, control.Plan{Rate: p.Rate, Reserve: p.Reserve, Weight: p.Weight,
+			Limit: p.Limit, Burst: p.Burst, LimitSlack: p.Slack, Worth: p.Worth})
+	}
+	return set
+}
--- /dev/null
+++ b/internal/lab/audit.go
@@ -0,0 +1,553 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/config"
+	"landingpaddle/internal/proto"
+)
+
+// Verdict is what the audit says of one rule.
+type Verdict struct {
+	Rule   string `json:"rule"`
+	Kept   bool   `json:"kept"`
+	Judged int    `json:"judged"`          // things that could have broken it
+	Breaks int    `json:"breaks"`          // how many did
+	First  string `json:"first,omitempty"` // the first: request, node, time
+}
+
+// The rules, in the order of the verdicts.
+const (
+	RuleAnswers = "answers" // exactly one final answer, in time, and nothing sent after it
+	RuleEffects = "effects" // no effect twice
+	RuleDrains  = "drains"  // nothing new to a node later than the grace after the instance was told
+	RuleCold    = "cold"    // no cold node pushed over
+	RuleOrder   = "order"   // requests of one key one at a time, in the order taken
+	RuleBudget  = "budget"  // attempts beyond the first within the stated budget
+	RuleLimits  = "limits"  // what all instances send for a volume within its plan's limit
+)
+
+// transit is how long a frame may be on its way on loopback between two logs, beyond what the logs show of
+// the machine standing still.
+const transit = 60 * time.Millisecond
+
+// audit judges the rules from what passed on the sockets: the clients' and nodes' logs, and the moments at
+// which instances acknowledged news of nodes. It knows nothing of what a scheduler says of itself.
+type audit struct {
+	site   *config.Site
+	events []Event
+	start  int64
+	out    map[string]*Verdict
+	still  []span // the laboratory, and by instance, stood still
+	stalls map[int][]span
+	kills  map[int][]int64
+	zones  map[int]int
+	nodes  map[string]int // by address, where the list service knows no more of a node
+	tries  map[tryID]*tryLog
+	sent   []*tryLog // in order
+}
+
+type span struct{ from, to int64 }
+
+type tryID struct {
+	token uint64
+	try   int
+}
+
+// tryLog is one try of a client and all that came of it.
+type tryLog struct {
+	sent     Event
+	ends     []Event // answers, and how else it ended
+	attempts []*attemptLog
+}
+
+// attemptLog is one attempt as its node saw it.
+type attemptLog struct {
+	arrive  Event
+	replied int64 // when the answer was written; 0: never
+	called  int64 // when it was called off, its connection ended or its node died; 0: never
+	code    proto.Code
+	effect  bool
+}
+
+// mayHaveRun: it was neither turned away nor of another cell.
+func (a *attemptLog) mayHaveRun() bool { return a.code != proto.Full && a.code != proto.Moot }
+
+// Audit judges all rules.
+func Audit(site *config.Site, events []Event) []Verdict {
+	a := &audit{site: site, events: slices.Clone(events), out: map[string]*Verdict{},
+		stalls: map[int][]span{}, kills: map[int][]int64{}, zones: map[int]int{}, nodes: map[string]int{},
+		tries: map[tryID]*tryLog{}}
+	slices.SortStableFunc(a.events, func(x, y Event) int { return cmp.Compare(x.T, y.T) })
+	rules := []string{RuleAnswers, RuleEffects, RuleDrains, RuleCold, RuleOrder, RuleBudget, RuleLimits}
+	for _, r := range rules {
+		a.out[r] = &Verdict{Rule: r, Kept: true}
+	}
+	if len(a.events) > 0 {
+		a.start = a.events[0].T
+	}
+	a.gather()
+	a.answers()
+	a.effects()
+	a.drains()
+	a.cold()
+	a.order()
+	a.budget()
+	a.limits()
+	var out []Verdict
+	for _, r := range rules {
+		out = append(out, *a.out[r])
+	}
+	return out
+}
+
+func (a *audit) broke(rule string, e Event, format string, args ...any) {
+	v := a.out[rule]
+	v.Kept = false
+	v.Breaks++
+	if v.Breaks == 1 {
+		at, what := time.Duration(e.T-a.start).Seconds(), fmt.Sprintf(format, args...)
+		v.First = fmt.Sprintf("request %d try %d, instance %d, node %d, at %.3f s: %s", e.Token, e.Try,
+			e.Inst, e.Node, at, what)
+	}
+}
+
+// excuse is how much longer something may take that began and ended so: what the logs show of stand-stills,
+// with a moment for what had piled up by then.
+func (a *audit) excuse(inst int, from, to int64) int64 {
+	const after = int64(150 * time.Millisecond)
+	total := int64(0)
+	for _, spans := range [][]span{a.still, a.stalls[inst]} {
+		for _, s := range spans {
+			if s.to+after >= from && s.from <= to {
+				total += s.to - s.from + after
+			}
+		}
+	}
+	return total
+}
+
+func (a *audit) killed(inst int, from, to int64) bool {
+	return slices.ContainsFunc(a.kills[inst], func(t int64) bool { return t >= from && t <= to })
+}
+
+// gather puts events together by tries and attempts.
+func (a *audit) gather() {
+	type open struct {
+		id   tryID
+		node int
+		n    int
+	}
+	live := map[open]*attemptLog{}
+	for _, e := range a.events {
+		id := tryID{e.Token, e.Try}
+		key := open{id, e.Node, e.Attempt}
+		switch e.Kind {
+		case KindPulse:
+			a.still = append(a.still, span{e.T - e.Wait, e.T})
+		case KindStall:
+			a.stalls[e.Inst] = append(a.stalls[e.Inst], span{e.T, e.T + e.Wait})
+		case KindKill:
+			a.kills[e.Inst] = append(a.kills[e.Inst], e.T)
+		case KindBoot:
+			a.zones[e.Node] = e.Zone
+			a.nodes[e.Reason] = e.Node
+		case KindSent:
+			t := &tryLog{sent: e}
+			a.tries[id] = t
+			a.sent = append(a.sent, t)
+		case KindAnswer, KindBroken, KindLeft, KindWaited:
+			if t := a.tries[id]; t != nil {
+				t.ends = append(t.ends, e)
+			}
+		case KindArrive:
+			at := &attemptLog{arrive: e}
+			live[key] = at
+			if t := a.tries[id]; t != nil {
+				t.attempts = append(t.attempts, at)
+			}
+		case KindFull, KindMoot, KindRepeat, KindEnd, KindCancel:
+			if at := live[key]; at != nil {
+				at.code = e.Code
+				at.effect = e.Kind == KindEnd && e.Write
+			}
+		case KindReplied:
+			if at := live[key]; at != nil && at.replied == 0 {
+				at.replied = e.T
+			}
+		case KindCalled:
+			if at := live[key]; at != nil && at.called == 0 {
+				at.called = e.T
+			}
+		case KindDown:
+			for k, at := range live {
+				if k.node == e.Node && at.replied == 0 && at.called == 0 {
+					at.called = e.T
+				}
+			}
+		}
+	}
+}
+
+func (t *tryLog) answered() (Event, bool) {
+	for _, e := range t.ends {
+		if e.Kind == KindAnswer {
+			return e, true
+		}
+	}
+	return Event{}, false
+}
+
+func (a *audit) answers() {
+	if len(a.events) == 0 {
+		return
+	}
+	last := a.events[len(a.events)-1].T
+	slack := int64(a.site.Rules.AnswerSlack)
+	for _, t := range a.sent {
+		s := t.sent
+		due := s.T + s.Wait + slack
+		end := min(due+int64(lateMargin), last)
+		if due >= last {
+			continue // the logs end before its time was up
+		}
+		a.out[RuleAnswers].Judged++
+		answers, left, broken := 0, false, false
+		for _, e := range t.ends {
+			switch e.Kind {
+			case KindAnswer:
+				answers++
+			case KindLeft:
+				left = true
+			case KindBroken:
+				broken = true
+			}
+		}
+		dead := a.killed(s.Inst, s.T-int64(50*time.Millisecond), end+a.excuse(s.Inst, s.T, end))
+		switch {
+		case answers > 1:
+			a.broke(RuleAnswers, s, "%d final answers", answers)
+		case answers == 0 && !left && !dead && (broken || a.excuse(s.Inst, s.T, end) == 0):
+			a.broke(RuleAnswers, s, "no answer within %v", time.Duration(s.Wait))
+		}
+		e, ok := t.answered()
+		if !ok {
+			continue
+		}
+		if over := e.T - due; over > 0 && over > a.excuse(s.Inst, s.T, e.T) {
+			a.broke(RuleAnswers, s, "answered %v after its time was up", time.Duration(e.T-s.T-s.Wait))
+		}
+		for _, at := range t.attempts {
+			over := at.arrive.T - e.T - int64(transit)
+			if over > 0 && over > a.excuse(s.Inst, e.T, at.arrive.T) {
+				a.broke(RuleAnswers, at.arrive, "sent %v after its answer", time.Duration(at.arrive.T-e.T))
+			}
+		}
+	}
+}
+
+func (a *audit) effects() {
+	done := map[uint64]int{}
+	for _, t := range a.sent {
+		class := a.site.Classes[t.sent.Class]
+		repeat := control.Repeat(class.Repeat)
+		if repeat == control.Safe {
+			continue
+		}
+		if len(t.attempts) > 0 {
+			a.out[RuleEffects].Judged++
+		}
+		var ran *attemptLog
+		for _, at := range t.attempts {
+			if at.effect {
+				if done[t.sent.Token]++; done[t.sent.Token] > 1 {
+					a.broke(RuleEffects, at.arrive, "took effect a second time")
+				}
+			}
+			if ran != nil {
+				a.repeat(class, ran, at)
+			}
+			if ran == nil && at.mayHaveRun() {
+				ran = at
+			}
+		}
+		e, ok := t.answered()
+		truthful := repeat == control.Keyed && control.Group(class.Group) == control.GroupAll
+		if ok && e.Code == proto.Refused && ran != nil && ran.arrive.T < e.T && !truthful {
+			a.broke(RuleEffects, e, "refused while it may have run on node %d", ran.arrive.Node)
+		}
+	}
+}
+
+// repeat judges an attempt after one that may have run.
+func (a *audit) repeat(class config.Class, ran, at *attemptLog) {
+	if control.Repeat(class.Repeat) == control.Unsafe {
+		a.broke(RuleEffects, at.arrive, "sent again while it may have run on node %d", ran.arrive.Node)
+		return
+	}
+	same := true
+	switch control.Group(class.Group) {
+	case control.GroupZone:
+		same = a.zones[ran.arrive.Node] == a.zones[at.arrive.Node]
+	case control.GroupCell:
+		same = ran.arrive.Cell == at.arrive.Cell
+	}
+	if !same {
+		a.broke(RuleEffects, at.arrive, "sent again outside the group of node %d", ran.arrive.Node)
+	}
+	over := at.arrive.T - ran.arrive.T - int64(class.Window) - int64(transit)
+	if over > 0 && over > a.excuse(at.arrive.Inst, ran.arrive.T, at.arrive.T) {
+		a.broke(RuleEffects, at.arrive, "sent again %v after the first send",
+			time.Duration(at.arrive.T-ran.arrive.T))
+	}
+}
+
+// drains follows what each instance was told of each node, by the list or by the node itself.
+func (a *audit) drains() {
+	type pair struct{ inst, node int }
+	type state struct {
+		since  int64 // 0: not told that it drains or is gone
+		notice int64 // start of the node that told of its draining itself
+	}
+	told := map[pair]*state{}
+	at := func(inst, node int) *state {
+		p := pair{inst, node}
+		if told[p] == nil {
+			told[p] = &state{notice: -1}
+		}
+		return told[p]
+	}
+	for _, e := range a.events {
+		switch e.Kind {
+		case KindUp:
+			for p := range told {
+				if p.inst == e.Inst {
+					delete(told, p)
+				}
+			}
+		case KindNotice:
+			s := at(e.Inst, e.Node)
+			s.notice = e.Boot
+			if s.since == 0 {
+				s.since = e.T
+			}
+		case KindTold:
+			if e.Reason != "" {
+				node, ok := a.nodes[e.Reason]
+				if !ok {
+					continue
+				}
+				e.Node = node
+			}
+			s := at(e.Inst, e.Node)
+			switch {
+			case e.Status != "ready" && s.since == 0:
+				s.since = e.T
+			case e.Status == "ready" && (s.notice < 0 || e.Boot > s.notice):
+				s.since, s.notice = 0, -1
+			}
+		case KindArrive:
+			a.out[RuleDrains].Judged++
+			s := told[pair{e.Inst, e.Node}]
+			if s == nil || s.since == 0 || e.Boot > s.notice && s.notice >= 0 {
+				continue
+			}
+			over := e.T - s.since - int64(a.site.Rules.DrainGrace) - int64(transit)
+			if over > 0 && over > a.excuse(e.Inst, s.since, e.T) {
+				a.broke(RuleDrains, e, "sent %v after it was told that the node drains or is gone",
+					time.Duration(e.T-s.since))
+			}
+		}
+	}
+}
+
+func (a *audit) cold() {
+	for _, e := range a.events {
+		switch e.Kind {
+		case KindArrive:
+			if e.Boot != 0 && e.T-e.Boot < int64(a.site.Rules.Ramp) {
+				a.out[RuleCold].Judged++
+			}
+		case KindFell:
+			a.broke(RuleCold, e, "the node fell over")
+		}
+	}
+}
+
+// order judges requests of one key that came on one connection: that is the order in which they were taken.
+func (a *audit) order() {
+	type chain struct {
+		inst, client int
+		conn, key    uint64
+	}
+	const near = int64(10 * time.Millisecond)
+	chains := map[chain][]*tryLog{}
+	for _, t := range a.sent {
+		if s := t.sent; a.site.Classes[s.Class].InOrder && s.Key != 0 {
+			c := chain{s.Inst, s.Client, s.Conn, s.Key}
+			chains[c] = append(chains[c], t)
+		}
+	}
+	pause := int64(a.site.Rules.OrderPause)
+	for _, list := range chains {
+		slices.SortFunc(list, func(x, y *tryLog) int { return cmp.Compare(x.sent.Seq, y.sent.Seq) })
+		for i, later := range list {
+			if len(later.attempts) == 0 {
+				continue
+			}
+			a.out[RuleOrder].Judged++
+			first := later.attempts[0].arrive
+			for _, earlier := range list[max(0, i-32):i] {
+				for _, at := range earlier.attempts {
+					slack := near + a.excuse(first.Inst, at.arrive.T, first.T)
+					switch {
+					case at.arrive.T > first.T+slack:
+						a.broke(RuleOrder, first, "sent before request %d of the same key, taken earlier",
+							earlier.sent.Token)
+					case at.arrive.T > first.T:
+					case at.replied != 0 && at.replied <= first.T+slack:
+					case at.called != 0 && at.called+pause <= first.T+slack:
+					default:
+						a.broke(RuleOrder, first, "sent while request %d of the same key was not over",
+							earlier.sent.Token)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (a *audit) budget() {
+	b := a.site.Rules.Budget
+	if b == nil {
+		return
+	}
+	taken, extras, up := map[int][]int64{}, map[int][]int64{}, map[int]int64{}
+	for _, e := range a.events {
+		switch {
+		case e.Kind == KindUp:
+			taken[e.Inst], extras[e.Inst], up[e.Inst] = nil, nil, e.T
+		case e.Kind == KindSent:
+			taken[e.Inst] = append(taken[e.Inst], e.T)
+		case e.Kind == KindArrive && e.Attempt > 0:
+			a.out[RuleBudget].Judged++
+			extras[e.Inst] = append(extras[e.Inst], e.T)
+			excuse := int64(transit) + a.excuse(e.Inst, e.T-int64(b.Window), e.T)
+			count := func(times []int64, slack int64) int {
+				i, _ := slices.BinarySearch(times, e.T-int64(b.Window)-slack)
+				return len(times) - i
+			}
+			n, of := count(extras[e.Inst], -excuse), count(taken[e.Inst], excuse)
+			if most := b.Floor + b.Ratio*float64(of); float64(n) > most {
+				a.broke(RuleBudget, e, "%d attempts beyond the first in %v, %.1f allowed", n, b.Window, most)
+			}
+		}
+	}
+}
+
+func (a *audit) limits() {
+	type store struct {
+		level float64
+		at    int64
+	}
+	stores, seen := map[uint64]*store{}, map[tryID]bool{}
+	for _, e := range a.events {
+		if e.Kind != KindArrive || a.site.Plans[e.Plan].Limit <= 0 || seen[tryID{e.Token, e.Try}] {
+			continue
+		}
+		if t := a.tries[tryID{e.Token, e.Try}]; t != nil && t.attempts[0].code == proto.Moot {
+			continue
+		}
+		seen[tryID{e.Token, e.Try}] = true
+		a.out[RuleLimits].Judged++
+		p := a.site.Plans[e.Plan]
+		s := stores[e.Volume]
+		if s == nil {
+			s = &store{p.Burst, e.T}
+			stores[e.Volume] = s
+		}
+		s.level = min(p.Burst, s.level+p.Limit*time.Duration(e.T-s.at).Seconds())
+		s.at = e.T
+		s.level -= float64(e.Units)
+		excuse := p.Limit * time.Duration(int64(transit)+a.excuse(e.Inst, e.T, e.T)).Seconds()
+		if s.level < -p.Slack-excuse {
+			a.broke(RuleLimits, e, "volume %d is %.1f units over its limit, %.1f are allowed",
+				e.Volume, -s.level, p.Slack)
+		}
+	}
+}
+
+// Worth is what a day earned.
+type Worth struct {
+	Asked   int     `json:"asked"` // operations; a client's retries belong to them
+	InTime  int     `json:"in_time"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"` // ended with a refusal
+	Failed  int     `json:"failed"`
+	None    int     `json:"none"`   // no answer
+	Share   float64 `json:"share"`  // worth earned of worth asked
+	Sends   int     `json:"sends"`  // attempts that reached a node
+	Wasted  int     `json:"wasted"` // of them such that served no answer
+}
+
+// WorthOf adds up what was served, by the clients' logs: full worth within a class's aim from the first try
+// on, its late share after that, in units and by plan.
+func WorthOf(site *config.Site, events []Event) Worth {
+	type operation struct {
+		first Event
+		last  Event
+		ended bool
+	}
+	ops := map[uint64]*operation{}
+	var w Worth
+	replies := 0
+	for _, e := range events {
+		switch e.Kind {
+		case KindSent:
+			if ops[e.Token] == nil {
+				ops[e.Token] = &operation{first: e}
+			}
+		case KindAnswer:
+			if o := ops[e.Token]; o != nil && !(o.ended && o.last.Code == proto.OK) {
+				o.last, o.ended = e, true
+			}
+		case KindArrive:
+			w.Sends++
+		case KindReplied:
+			if e.Code == proto.OK {
+				replies++
+			}
+		}
+	}
+	asked, earned := 0.0, 0.0
+	for _, o := range ops {
+		class, plan := site.Classes[o.first.Class], site.Plans[o.first.Plan]
+		worth := class.Worth * plan.Worth * float64(o.first.Units) / max(site.MeanUnits, 1)
+		w.Asked++
+		asked += worth
+		took := time.Duration(o.last.T - o.first.T)
+		switch {
+		case !o.ended:
+			w.None++
+		case o.last.Code == proto.OK && took <= class.Aim:
+			w.InTime++
+			earned += worth
+		case o.last.Code == proto.OK:
+			w.Late++
+			earned += worth * class.Late
+		case o.last.Code == proto.Refused:
+			w.Refused++
+		default:
+			w.Failed++
+		}
+	}
+	w.Wasted = w.Sends - replies
+	if asked > 0 {
+		w.Share = earned / asked
+	}
+	return w
+}
--- /dev/null
+++ b/internal/lab/node.go
@@ -0,0 +1,635 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/config"
+	"landingpaddle/internal/nodelist"
+	"landingpaddle/internal/proto"
+	"landingpaddle/roster"
+)
+
+// Group remembers keyed operations for the nodes that drop each other's repeats.
+type Group struct {
+	mu   sync.Mutex
+	seen map[uint64]time.Time
+}
+
+// NewGroup remembers nothing yet.
+func NewGroup() *Group { return &Group{seen: map[uint64]time.Time{}} }
+
+// first notes an operation and tells whether it is none that the group remembers.
+func (g *Group) first(token uint64, window time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.seen[token]
+	if ok && time.Since(at) < window {
+		return false
+	}
+	g.seen[token] = time.Now()
+	return true
+}
+
+func (g *Group) forget(token uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.seen, token)
+}
+
+// Meter knows what each volume was served everywhere, period by period.
+type Meter struct {
+	mu     sync.Mutex
+	period time.Duration
+	start  time.Time
+	now    map[uint64]float64
+	past   map[uint64]float64
+	nth    int64
+}
+
+// NewMeter counts in periods of that length; 0: never.
+func NewMeter(period time.Duration) *Meter {
+	return &Meter{period: period, start: time.Now(), now: map[uint64]float64{}, past: map[uint64]float64{}}
+}
+
+// served counts units and returns 1 + percent of the rate in the last finished period; 0 without a meter.
+func (m *Meter) served(volume uint64, units, rate float64) uint32 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.period <= 0 || rate <= 0 {
+		return 0
+	}
+	if nth := int64(time.Since(m.start) / m.period); nth != m.nth {
+		if nth > m.nth+1 {
+			m.now = map[uint64]float64{}
+		}
+		m.past, m.now, m.nth = m.now, map[uint64]float64{}, nth
+	}
+	m.now[volume] += units
+	if m.nth == 0 {
+		return 0
+	}
+	return 1 + uint32(100*m.past[volume]/(rate*m.period.Seconds()))
+}
+
+// NodeConfig is a stand-in node.
+type NodeConfig struct {
+	Number int
+	Cell   uint16
+	Zone   uint8
+	Kind   config.Kind
+	Site   *config.Site
+	List   string // address of the list service
+	Addr   netip.AddrPort
+	Seed   uint64
+	Log    *Log
+	Groups func(g control.Group) *Group // which group drops repeats with it
+	Meter  *Meter
+	Cold   bool          // its first start counts as just now, not long ago
+	Ahead  time.Duration // its clock is ahead of ours by so much
+}
+
+// Node is a storage node's machine; a process of it runs while Run does. It may be run again after that.
+type Node struct {
+	cfg    NodeConfig
+	Faults Faults
+	ln     net.Listener
+	runs   int
+
+	mu   sync.Mutex
+	life *life
+}
+
+// NewNode makes a machine and binds its address, so that it can be told to others before it runs.
+func NewNode(cfg NodeConfig) (*Node, error) {
+	if !cfg.Addr.IsValid() {
+		cfg.Addr = netip.MustParseAddrPort("127.0.0.1:0")
+	}
+	ln, err := net.Listen("tcp4", cfg.Addr.String())
+	if err != nil {
+		return nil, err
+	}
+	cfg.Addr = ln.Addr().(*net.TCPAddr).AddrPort()
+	n := &Node{cfg: cfg, ln: ln}
+	n.Faults.rng = rand.New(rand.NewPCG(cfg.Seed, 1))
+	return n, nil
+}
+
+// Addr is where the node listens, in all its lives.
+func (n *Node) Addr() netip.AddrPort { return n.cfg.Addr }
+
+// op is a request at the node.
+type op struct {
+	conn     *proto.Conn
+	inst     int
+	stream   uint64
+	req      proto.Request
+	payload  []byte
+	ctx      context.Context // ends when it is called off
+	calledBy context.CancelFunc
+	state    opState // guarded by the life's lock
+}
+
+type opState uint8
+
+const (
+	opWaits opState = iota
+	opRuns
+	opDropped // called off while it waited or ran: it takes no effect
+	opDone
+)
+
+// life is one process.
+type life struct {
+	n     *Node
+	boot  time.Time
+	told  int64 // boot in Unix nanoseconds as the node's clock has it; 0: long ago
+	cold  bool
+	queue chan *op
+	kill  context.CancelFunc
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	draining bool
+	conns    map[*proto.Conn]map[uint64]*op
+	sent     []sentUnits // within the fall window
+	sum      float64
+	served   map[uint64]map[int]float64 // units by volume and instance, for elsewhere
+	heard    map[uint64]map[int]float64 // and what each instance was told of them
+	last     []uint64                   // keys
+	debt     time.Duration              // deferred work
+	status   chan roster.Entry
+}
+
+type sentUnits struct {
+	at    time.Time
+	units float64
+}
+
+// Run is one life of the node: until ctx ends, Kill, or it falls over.
+func (n *Node) Run(ctx context.Context) error {
+	if n.ln == nil {
+		ln, err := listenAgain(ctx, n.cfg.Addr)
+		if err != nil {
+			return err
+		}
+		n.ln = ln
+	}
+	ln := n.ln
+	n.ln = nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := &life{n: n, boot: time.Now(), cold: n.cfg.Cold || n.runs > 0, kill: cancel,
+		queue: make(chan *op, n.cfg.Kind.Queue), rng: rand.New(rand.NewPCG(n.cfg.Seed, uint64(2+n.runs))),
+		conns: map[*proto.Conn]map[uint64]*op{}, served: map[uint64]map[int]float64{},
+		heard: map[uint64]map[int]float64{}, status: make(chan roster.Entry, 4)}
+	n.runs++
+	if l.cold {
+		l.told = n.cfg.Log.Now() + int64(n.cfg.Ahead)
+	}
+	n.mu.Lock()
+	n.life = l
+	n.mu.Unlock()
+	l.log(Event{Kind: KindBoot, Boot: l.told, Reason: n.cfg.Addr.String()})
+	defer l.log(Event{Kind: KindDown, Boot: l.told})
+	g, ctx := errgroup.WithContext(ctx)
+	lim := proto.Limits{Header: 4 << 10, Payload: int(n.cfg.Site.Limits.Payload),
+		Streams: n.cfg.Site.Limits.Streams, Backlog: 64 << 20}
+	cfg := proto.Config{Limits: lim, Idle: 10 * time.Minute,
+		Hello: proto.Hello{Role: "node", Number: uint32(n.cfg.Number), Boot: l.told}}
+	g.Go(func() error { return proto.Serve(ctx, ln, cfg, n.cfg.Kind.Conns, l.session) })
+	for range n.cfg.Kind.Cores {
+		g.Go(func() error { return l.work(ctx) })
+	}
+	g.Go(func() error { return l.housekeeping(ctx) })
+	g.Go(func() error { return nodelist.Register(ctx, n.cfg.List, cfg, l.status) })
+	l.status <- l.entry(control.Ready)
+	return g.Wait()
+}
+
+// listenAgain binds the address of an earlier life, which the system may hold back for a moment.
+func listenAgain(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
+	var err error
+	for range 100 {
+		var ln net.Listener
+		if ln, err = net.Listen("tcp4", addr.String()); err == nil {
+			return ln, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil, err
+}
+
+func (l *life) entry(s control.Status) roster.Entry {
+	server, err := nodelist.ServerOf(l.n.cfg.Addr)
+	if err != nil {
+		panic(err) // bound as IPv4
+	}
+	return roster.Entry{Server: server, Status: s, Cell: l.n.cfg.Cell, Zone: l.n.cfg.Zone, Boot: l.told,
+		Nominal: 1}
+}
+
+func (l *life) log(e Event) {
+	e.Node, e.Zone, e.Cell = l.n.cfg.Number, int(l.n.cfg.Zone), int(l.n.cfg.Cell)
+	if l.n.cfg.Log != nil {
+		l.n.cfg.Log.Add(e)
+	}
+}
+
+func (l *life) logOp(k Kind, o *op, code proto.Code) {
+	q := &o.req
+	l.log(Event{Kind: k, Inst: o.inst, Token: q.Token, Try: int(q.Try), Attempt: int(q.Attempt),
+		Class: int(q.Class), Plan: int(q.Plan), Volume: q.Volume, Key: q.Key, Units: int(q.Units), Code: code,
+		Write: q.Write, Client: int(q.Client), Boot: l.told})
+}
+
+// current is the running life, nil between lives.
+func (n *Node) current() *life {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.life
+}
+
+// Kill ends the process at once.
+func (n *Node) Kill() {
+	if l := n.current(); l != nil {
+		l.kill()
+	}
+}
+
+// Drain lets the node finish what it has and take nothing new; it tells the list and, where its kind does
+// that, its connections.
+func (n *Node) Drain() {
+	l := n.current()
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	l.draining = true
+	if n.cfg.Kind.Notices {
+		for c := range l.conns {
+			l.notice(c)
+		}
+	}
+	l.mu.Unlock()
+	select {
+	case l.status <- l.entry(control.Draining):
+	default:
+	}
+}
+
+func (l *life) notice(c *proto.Conn) {
+	if c.Post(proto.TypeDrain, 0, nil, nil) == nil {
+		l.log(Event{Kind: KindNotice, Inst: int(c.Their().Number), Boot: l.told})
+	}
+}
+
+// ResetConns breaks all connections.
+func (n *Node) ResetConns() {
+	if l := n.current(); l != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c := range l.conns {
+			c.Close(proto.ErrClosed)
+		}
+	}
+}
+
+func (l *life) session(ctx context.Context, c *proto.Conn) {
+	inst := int(c.Their().Number)
+	ops := map[uint64]*op{}
+	l.mu.Lock()
+	l.conns[c] = ops
+	if l.draining && l.n.cfg.Kind.Notices {
+		l.notice(c)
+	}
+	l.mu.Unlock()
+	// Its end is the peer's matter.
+	_ = c.Run(ctx, func(f proto.Frame) error { return l.frame(ctx, c, inst, f) })
+	l.mu.Lock()
+	delete(l.conns, c)
+	left := make([]*op, 0, len(ops))
+	for _, o := range ops {
+		left = append(left, o)
+	}
+	l.mu.Unlock()
+	for _, o := range left {
+		l.call(o)
+	}
+}
+
+func (l *life) frame(ctx context.Context, c *proto.Conn, inst int, f proto.Frame) error {
+	switch f.Type {
+	case proto.TypeRequest:
+		o := &op{conn: c, inst: inst, stream: f.Stream, payload: f.Payload}
+		if err := f.Decode(&o.req); err != nil {
+			return err
+		}
+		if err := c.Open(f.Stream); err != nil {
+			return err
+		}
+		if int(o.req.Class) >= len(l.n.cfg.Site.Classes) || int(o.req.Plan) >= len(l.n.cfg.Site.Plans) {
+			return fmt.Errorf("class %d or plan %d is not known", o.req.Class, o.req.Plan)
+		}
+		o.ctx, o.calledBy = context.WithCancel(ctx)
+		l.take(o)
+	case proto.TypeCancel:
+		l.mu.Lock()
+		o := l.conns[c][f.Stream]
+		l.mu.Unlock()
+		if o != nil {
+			l.call(o)
+		}
+	case proto.TypeProbe:
+		return c.Post(proto.TypeProbed, f.Stream, proto.Answer{Code: proto.OK, Load: l.load()}, nil)
+	default:
+		return fmt.Errorf("an instance sends no frame of type %v", f.Type)
+	}
+	return nil
+}
+
+// call takes in that an operation is called off. What will not take effect any more is forgotten by its
+// group at once: a repeat that came before the core got to it would else be dropped, and nobody would have
+// done it.
+func (l *life) call(o *op) {
+	l.logOp(KindCalled, o, 0)
+	k := l.n.cfg.Kind
+	l.mu.Lock()
+	if o.state == opWaits && k.Drops || o.state == opRuns && k.Stops {
+		o.state = opDropped
+		l.forget(o)
+	}
+	l.mu.Unlock()
+	o.calledBy()
+}
+
+func (l *life) forget(o *op) {
+	if class := l.n.cfg.Site.Classes[o.req.Class]; class.Repeat == config.Repeat(control.Keyed) {
+		l.group(class).forget(o.req.Token)
+	}
+}
+
+// move changes an operation's state unless it is over.
+func (l *life) move(o *op, to opState) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.state >= opDropped {
+		return false
+	}
+	o.state = to
+	return true
+}
+
+// take lets a request in or turns it away.
+func (l *life) take(o *op) {
+	l.logOp(KindArrive, o, 0)
+	l.mu.Lock()
+	l.conns[o.conn][o.stream] = o
+	fell, draining := l.press(float64(o.req.Units)), l.draining
+	l.mu.Unlock()
+	class := l.n.cfg.Site.Classes[o.req.Class]
+	keyed := class.Repeat == config.Repeat(control.Keyed)
+	switch {
+	case fell:
+		l.log(Event{Kind: KindFell, Inst: o.inst, Token: o.req.Token, Boot: l.told})
+		l.kill()
+	case o.req.Cell >= 0 && o.req.Cell != int32(l.n.cfg.Cell):
+		l.answer(o, KindMoot, proto.Moot)
+	case draining:
+		l.answer(o, KindFull, proto.Full)
+	case keyed && !l.group(class).first(o.req.Token, class.Window):
+		l.answer(o, KindRepeat, proto.OK)
+	default:
+		select {
+		case l.queue <- o:
+		default:
+			l.forget(o)
+			l.answer(o, KindFull, proto.Full)
+		}
+	}
+}
+
+func (l *life) group(c config.Class) *Group { return l.n.cfg.Groups(control.Group(c.Group)) }
+
+// capacity is the part of its work that the node can do now: it warms over the ramp.
+func (l *life) capacity() float64 {
+	r := l.n.cfg.Site.Rules
+	if !l.cold || r.Ramp <= 0 {
+		return 1
+	}
+	return min(1, r.ColdShare+(1-r.ColdShare)*time.Since(l.boot).Seconds()/r.Ramp.Seconds())
+}
+
+// press adds work and tells whether a cold node falls over: sent more than the stated multiple of what it
+// can do now, over the stated time.
+func (l *life) press(units float64) bool {
+	r := l.n.cfg.Site.Rules
+	if !l.cold || r.Ramp <= 0 || time.Since(l.boot) > r.Ramp+r.FallWindow {
+		return false
+	}
+	now := time.Now()
+	l.sent = append(l.sent, sentUnits{now, units})
+	l.sum += units
+	for now.Sub(l.sent[0].at) > r.FallWindow {
+		l.sum -= l.sent[0].units
+		l.sent = l.sent[1:]
+	}
+	k := l.n.cfg.Kind
+	rate := float64(k.Cores) / max(k.PerUnit, 100*time.Microsecond).Seconds() * l.capacity()
+	return l.sum > r.FallMultiple*rate*r.FallWindow.Seconds()
+}
+
+// work is one core.
+func (l *life) work(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case o := <-l.queue:
+			l.run(ctx, o)
+		}
+	}
+}
+
+func (l *life) run(ctx context.Context, o *op) {
+	if !sleep(ctx, l.n.Faults.still()) {
+		return
+	}
+	if !l.move(o, opRuns) {
+		l.answer(o, KindCancel, proto.Dropped)
+		return
+	}
+	l.logOp(KindStart, o, 0)
+	running := ctx
+	if l.n.cfg.Kind.Stops {
+		running = o.ctx
+	}
+	sleep(running, l.duration(o))
+	switch {
+	case ctx.Err() != nil:
+	case l.move(o, opDone):
+		l.answer(o, KindEnd, proto.OK)
+	default:
+		l.answer(o, KindCancel, proto.Dropped)
+	}
+}
+
+// sleep waits; false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// duration is how long an operation takes on one core now.
+func (l *life) duration(o *op) time.Duration {
+	k := l.n.cfg.Kind
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	work := float64(k.PerUnit) * float64(o.req.Units) * (1 + k.Jitter*(2*l.rng.Float64()-1))
+	if heavy := o.req.Length; heavy > 0 && o.req.Offset == heavyMark {
+		work *= float64(heavy)
+	}
+	if o.req.Write {
+		work *= k.WritePer
+		l.debt += time.Duration(work * k.Deferred)
+		work *= 1 - k.Deferred
+	}
+	if o.req.Key != 0 && k.Last > 0 {
+		if slices.Contains(l.last, o.req.Key) && o.req.Attempt == 0 {
+			work *= 1 - k.Again
+		}
+		l.last = append(l.last, o.req.Key)
+		l.last = l.last[max(0, len(l.last)-k.Last):]
+	}
+	return time.Duration(work * l.n.Faults.factor() / l.capacity())
+}
+
+// heavyMark in a request's offset makes it take Length times as long: a stand-in for odd requests.
+const heavyMark = 1<<64 - 1
+
+// answer ends an operation and writes its answer, unless the faults have it otherwise.
+func (l *life) answer(o *op, kind Kind, code proto.Code) {
+	l.logOp(kind, o, code)
+	l.mu.Lock()
+	a := proto.Answer{Code: code, Load: l.loadLocked()}
+	if code == proto.OK {
+		plan := l.n.cfg.Site.Plans[o.req.Plan]
+		a.Metered = l.n.cfg.Meter.served(o.req.Volume, float64(o.req.Units), plan.Rate)
+		if l.n.cfg.Site.Elsewhere {
+			a.Elsewhere = l.elsewhere(o.req.Volume, o.inst, float64(o.req.Units))
+		}
+	}
+	a.Cell = 1 + int32(l.n.cfg.Cell)
+	l.mu.Unlock()
+	o.calledBy()
+	var payload []byte
+	if code == proto.OK && !o.req.Write && l.n.cfg.Kind.Bytes > 0 {
+		payload = make([]byte, l.n.cfg.Kind.Bytes*int(o.req.Units))
+	}
+	switch l.n.Faults.answer() {
+	case fateLose:
+		return // it stays known, so that its being called off is logged
+	case fateCorrupt:
+		o.conn.Raw([]byte("this is no frame, and nothing that follows on this connection is one either"))
+		return
+	}
+	l.mu.Lock()
+	delete(l.conns[o.conn], o.stream)
+	l.mu.Unlock()
+	o.conn.Done(o.stream)
+	if o.conn.Post(proto.TypeAnswer, o.stream, a, payload) == nil {
+		l.logOp(KindReplied, o, code)
+	}
+}
+
+// elsewhere counts units served and tells what others were served of the volume since this instance last
+// heard.
+func (l *life) elsewhere(volume uint64, inst int, units float64) uint32 {
+	by := l.served[volume]
+	if by == nil {
+		by = map[int]float64{}
+		l.served[volume], l.heard[volume] = by, map[int]float64{}
+	}
+	by[inst] += units
+	others := 0.0
+	for i, u := range by {
+		if i != inst {
+			others += u
+		}
+	}
+	since := others - l.heard[volume][inst]
+	l.heard[volume][inst] = others
+	return uint32(max(0, since))
+}
+
+func (l *life) load() []float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.loadLocked()
+}
+
+// loadLocked is the load report: what the site's settings name, of what this node knows.
+func (l *life) loadLocked() []float64 {
+	var out []float64
+	for _, field := range l.n.cfg.Site.Load {
+		switch field {
+		case "q":
+			out = append(out, float64(len(l.queue)))
+		default:
+			out = append(out, float64(l.n.cfg.Kind.PerUnit.Milliseconds())*l.n.Faults.factor())
+		}
+	}
+	return out
+}
+
+// housekeeping stands still now and then, and does the work that was put off.
+func (l *life) housekeeping(ctx context.Context) error {
+	k := l.n.cfg.Kind
+	next := func(every time.Duration) <-chan time.Time {
+		if every <= 0 {
+			return nil
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return time.After(every/2 + time.Duration(l.rng.Int64N(int64(every))))
+	}
+	pause, flush := next(k.Every), next(k.Flush)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-pause:
+			l.n.Faults.Still(k.Pause)
+			pause = next(k.Every)
+		case <-flush:
+			l.mu.Lock()
+			debt := l.debt
+			l.debt = 0
+			l.mu.Unlock()
+			l.n.Faults.Still(debt / time.Duration(k.Cores))
+			flush = next(k.Flush)
+		}
+	}
+}
--- /dev/null
+++ b/internal/nodelist/server.go
@@ -0,0 +1,303 @@
+package nodelist
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/proto"
+	"landingpaddle/roster"
+)
+
+// ServerConfig is a stand-in list service.
+type ServerConfig struct {
+	Epoch    uint64
+	Delay    time.Duration // entries are told so late
+	Workers  int           // calls served at the same time
+	CallTime time.Duration // that one takes
+	MaxWait  time.Duration // a call that would wait longer fails when it has waited so long
+	MaxConns int
+	Conn     proto.Config
+	// Told, where set, is called when an instance has acknowledged news of a node.
+	Told func(instance uint32, e roster.Entry)
+}
+
+// Server is the stand-in: nodes register with it and are listed for as long as their connection lasts.
+type Server struct {
+	cfg ServerConfig
+
+	mu       sync.Mutex
+	delay    time.Duration
+	down     bool
+	version  uint64
+	listed   map[control.Server]roster.Entry // as told; gone ones stay with that status
+	changed  map[control.Server]uint64       // version of the last change
+	watchers map[*session]struct{}
+	free     []time.Time // when each worker is free
+	pending  map[*time.Timer]struct{}
+	closed   bool
+}
+
+// session is one connection.
+type session struct {
+	conn     *proto.Conn
+	instance uint32
+	watching bool
+	unheard  map[uint64][]roster.Entry // news sent, by version
+}
+
+// NewServer makes a service that lists nothing.
+func NewServer(cfg ServerConfig) *Server {
+	cfg.Workers, cfg.MaxConns = max(cfg.Workers, 1), cmp.Or(cfg.MaxConns, 4096)
+	cfg.Conn.Limits = Limits
+	cfg.Conn.Idle = 24 * time.Hour
+	cfg.Conn.Hello.Role = "list"
+	return &Server{cfg: cfg, delay: cfg.Delay, listed: map[control.Server]roster.Entry{},
+		changed: map[control.Server]uint64{}, watchers: map[*session]struct{}{},
+		free: make([]time.Time, cfg.Workers), pending: map[*time.Timer]struct{}{}}
+}
+
+// SetDelay changes how late entries are told from now on.
+func (s *Server) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// SetDown makes all calls fail, or ends that.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	if !down {
+		return
+	}
+	for w := range s.watchers {
+		w.conn.Close(proto.ErrClosed)
+	}
+}
+
+// Serve runs the service until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	err := proto.Serve(ctx, ln, s.cfg.Conn, s.cfg.MaxConns, s.session)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for t := range s.pending {
+		t.Stop()
+	}
+	return err
+}
+
+// after runs f later unless the service has ended.
+func (s *Server) after(d time.Duration, f func()) {
+	var t *time.Timer
+	run := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.pending, t)
+		if !s.closed {
+			f()
+		}
+	}
+	t = time.AfterFunc(max(d, 0), run)
+	s.pending[t] = struct{}{}
+}
+
+func (s *Server) session(ctx context.Context, c *proto.Conn) {
+	w := &session{conn: c, instance: c.Their().Number, unheard: map[uint64][]roster.Entry{}}
+	var node *roster.Entry
+	_ = c.Run(ctx, func(f proto.Frame) error { // why a peer left is its own matter
+		switch f.Type {
+		case proto.TypeRegister:
+			n, err := NewsOf(f)
+			if err != nil {
+				return err
+			}
+			if len(n.Entries) != 1 {
+				return fmt.Errorf("a node registers one entry, not %d", len(n.Entries))
+			}
+			node = &n.Entries[0]
+			s.Put(*node)
+			return nil
+		case proto.TypeWatch, proto.TypeFetch:
+			var ask proto.Ask
+			if err := f.Decode(&ask); err != nil {
+				return err
+			}
+			s.call(w, f.Type, f.Stream, ask)
+			return nil
+		case proto.TypeCancel:
+			s.mu.Lock()
+			w.watching = false
+			delete(s.watchers, w)
+			s.mu.Unlock()
+			return nil
+		case proto.TypeHeard:
+			s.heard(w, f.Stream)
+			return nil
+		}
+		return fmt.Errorf("a list service takes no frame of type %v", f.Type)
+	})
+	s.mu.Lock()
+	delete(s.watchers, w)
+	s.mu.Unlock()
+	if node != nil {
+		s.drop(*node)
+	}
+}
+
+// Put lists an entry, after the delay.
+func (s *Server) Put(e roster.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.after(s.delay, func() { s.apply(e) })
+}
+
+// drop lists a node as gone, unless another life of it is listed by then.
+func (s *Server) drop(e roster.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.after(s.delay, func() {
+		if now := s.listed[e.Server]; now.Boot <= e.Boot {
+			now.Status = control.Gone
+			s.apply(now)
+		}
+	})
+}
+
+func (s *Server) apply(e roster.Entry) {
+	if old, ok := s.listed[e.Server]; ok && old.Boot > e.Boot {
+		return
+	}
+	s.version++
+	s.listed[e.Server], s.changed[e.Server] = e, s.version
+	for w := range s.watchers {
+		s.tell(w, roster.News{Epoch: s.cfg.Epoch, Version: s.version, Since: s.version - 1,
+			Entries: []roster.Entry{e}}, 1)
+	}
+}
+
+// call serves a watch or fetch when a worker is free.
+func (s *Server) call(w *session, t proto.Type, stream uint64, ask proto.Ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	first := slices.MinFunc(s.free, time.Time.Compare)
+	start := now
+	if first.After(now) {
+		start = first
+	}
+	fail := func(reason string) {
+		_ = w.conn.Post(proto.TypeAnswer, stream, proto.Answer{Code: proto.Error, Reason: reason}, nil)
+	}
+	switch wait := start.Sub(now); {
+	case s.down:
+		fail("down")
+	case wait > s.cfg.MaxWait:
+		s.after(s.cfg.MaxWait, func() { fail("busy") })
+	default:
+		s.free[slices.Index(s.free, first)] = start.Add(s.cfg.CallTime)
+		s.after(wait+s.cfg.CallTime, func() {
+			if t == proto.TypeWatch {
+				w.watching = true
+				s.watchers[w] = struct{}{}
+			}
+			s.tell(w, s.since(ask), stream)
+		})
+	}
+}
+
+// since is what has changed since the list that an instance holds, or the whole list where that is unknown.
+func (s *Server) since(ask proto.Ask) roster.News {
+	n := roster.News{Epoch: s.cfg.Epoch, Version: s.version, Since: ask.Version,
+		Whole: ask.Epoch != s.cfg.Epoch || ask.Version == 0 || ask.Version > s.version}
+	for _, e := range s.listed {
+		if n.Whole && e.Status != control.Gone || !n.Whole && s.changed[e.Server] > ask.Version {
+			n.Entries = append(n.Entries, e)
+		}
+	}
+	slices.SortFunc(n.Entries, func(a, b roster.Entry) int {
+		return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]),
+			cmp.Compare(a.Server.Port, b.Server.Port))
+	})
+	return n
+}
+
+func (s *Server) tell(w *session, n roster.News, stream uint64) {
+	m := Message{Epoch: n.Epoch, Version: n.Version, Since: n.Since, Whole: n.Whole,
+		Items: itemsOf(n.Entries)}
+	if w.conn.Post(proto.TypeNews, stream, m, nil) != nil {
+		return
+	}
+	told := n.Entries
+	if n.Whole {
+		told = slices.Collect(maps.Values(s.listed)) // what is missing in a whole list is gone
+	}
+	w.unheard[n.Version] = append(w.unheard[n.Version], told...)
+}
+
+func (s *Server) heard(w *session, version uint64) {
+	s.mu.Lock()
+	told := w.unheard[version]
+	delete(w.unheard, version)
+	s.mu.Unlock()
+	if s.cfg.Told != nil {
+		for _, e := range told {
+			s.cfg.Told(w.instance, e)
+		}
+	}
+}
+
+// Register keeps a node's entry listed for as long as ctx lasts: each entry read from changes is told to the
+// service. It connects again when the service is away.
+func Register(ctx context.Context, addr string, cfg proto.Config, changes <-chan roster.Entry) error {
+	cfg.Limits, cfg.Idle = Limits, 24*time.Hour
+	var last *roster.Entry
+	for ctx.Err() == nil {
+		conn, err := proto.Dial(ctx, addr, cfg)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case e := <-changes:
+				last = &e
+			case <-time.After(100 * time.Millisecond):
+			}
+			continue
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = conn.Run(ctx, func(f proto.Frame) error { return fmt.Errorf("unasked frame %v", f.Type) })
+		}()
+		put := func(e roster.Entry) {
+			_ = conn.Post(proto.TypeRegister, 0, Message{Items: itemsOf([]roster.Entry{e})}, nil)
+		}
+		if last != nil {
+			put(*last)
+		}
+		for open := true; open; {
+			select {
+			case <-ctx.Done():
+				conn.Close(ctx.Err())
+				<-ended
+				open = false
+			case <-ended:
+				open = false
+			case e := <-changes:
+				last = &e
+				put(e)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proto/messages.go
@@ -0,0 +1,76 @@
+package proto
+
+import "time"
+
+// Hello is the greeting. Each side sends one first and takes the smaller of both limits.
+type Hello struct {
+	Version uint16 `cbor:"1,keyasint"`
+	Role    string `cbor:"2,keyasint"` // client, instance, node, list
+	Number  uint32 `cbor:"3,keyasint"` // of an instance or node within its fleet
+	Boot    int64  `cbor:"4,keyasint"` // Unix nanoseconds of the sender's start
+	Header  uint32 `cbor:"5,keyasint"` // what the sender takes: bytes of a header,
+	Payload uint32 `cbor:"6,keyasint"` // bytes of a payload,
+	Streams uint32 `cbor:"7,keyasint"` // and requests in flight on this connection
+}
+
+// NewObject as the Cell of a request means that its data may be put on any node.
+const NewObject = -1
+
+// Request asks a node, or an instance in front of the nodes, to read or write.
+type Request struct {
+	// Of the operation; all tries and attempts of it carry the same.
+	Token   uint64        `cbor:"1,keyasint"`
+	Class   uint16        `cbor:"2,keyasint"`           // place in the settings' list of classes
+	Plan    uint16        `cbor:"3,keyasint"`           // and of plans
+	Volume  uint64        `cbor:"4,keyasint"`           //
+	Key     uint64        `cbor:"5,keyasint,omitempty"` // what is read or written; 0: none
+	Units   uint32        `cbor:"6,keyasint"`           //
+	Cell    int32         `cbor:"7,keyasint"`           // where the data lies, or NewObject
+	Wait    time.Duration `cbor:"8,keyasint"`           // how long the sender waits, from when this is read
+	Try     uint16        `cbor:"9,keyasint,omitempty"` // of the client, counted from 0
+	Attempt uint16        `cbor:"10,keyasint,omitempty"`
+	Writers uint16        `cbor:"11,keyasint,omitempty"` // instances that the volume's requests come through
+	Write   bool          `cbor:"12,keyasint,omitempty"`
+	Offset  uint64        `cbor:"13,keyasint,omitempty"` // bytes
+	Length  uint32        `cbor:"14,keyasint,omitempty"` // bytes; of a read
+	Client  uint32        `cbor:"15,keyasint,omitempty"`
+}
+
+// Code is how a request ended. Below 400 they are a node's, and those of control.Code; from 400 on an
+// instance's.
+type Code uint16
+
+// The codes.
+const (
+	OK      Code = 100
+	Error   Code = 301 // the node failed; the request may have run
+	Full    Code = 302 // turned away unseen: the queue is full or the node drains
+	Dropped Code = 306 // called off; it may have run
+	Moot    Code = 307 // not run: the node does not hold the cell
+	Refused Code = 400 // final; trying again does no harm, best after Advice
+	Failed  Code = 401 // final; promises nothing
+)
+
+// Answer ends a stream.
+type Answer struct {
+	Code Code `cbor:"1,keyasint"`
+	// 1 + percent of its plan's rate the volume was served.
+	Metered uint32 `cbor:"2,keyasint,omitempty"`
+	// Units served through others since the last answer here.
+	Elsewhere uint32        `cbor:"3,keyasint,omitempty"`
+	Load      []float64     `cbor:"4,keyasint,omitempty"` // the load report, in the order of the settings
+	Advice    time.Duration `cbor:"5,keyasint,omitempty"` // stay away for so long
+	Reason    string        `cbor:"6,keyasint,omitempty"` // one word
+	Cell      int32         `cbor:"7,keyasint,omitempty"` // 1 + where a new object was put
+}
+
+// Bye says why a connection is closed.
+type Bye struct {
+	Reason string `cbor:"1,keyasint"`
+}
+
+// Ask is what an instance tells the list service of what it holds.
+type Ask struct {
+	Epoch   uint64 `cbor:"1,keyasint,omitempty"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/sched/front.go
@@ -0,0 +1,179 @@
+package sched
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/proto"
+)
+
+// call is one client's request on its way through the instance.
+type call struct {
+	client  *client
+	stream  uint64
+	req     proto.Request
+	payload []byte
+	at      time.Duration // when it was read
+}
+
+// client is one client's connection.
+type client struct {
+	conn  *proto.Conn
+	mu    sync.Mutex
+	calls map[uint64]*call
+}
+
+// front takes requests from clients, bounds them and hands them to the loop.
+type front struct {
+	i    *Instance
+	open atomic.Int64 // requests taken and not answered
+
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	none    chan struct{} // closed when the last client is gone after bye
+	byeing  bool
+	isNone  bool
+}
+
+func newFront(i *Instance) *front {
+	return &front{i: i, clients: map[*client]struct{}{}, none: make(chan struct{})}
+}
+
+func (f *front) serve(ctx context.Context) error {
+	lim := f.i.cfg.Site.Limits
+	cfg := proto.Config{Hello: f.i.hello(), Gate: f.i.cfg.Hooks.Gate, Idle: 10 * time.Minute,
+		Limits: proto.Limits{Header: 4 << 10, Payload: int(lim.Payload), Streams: max(lim.Streams, 64) * 64,
+			Backlog: 4*int(lim.Payload) + 1<<20}}
+	return proto.Serve(ctx, f.i.cfg.Listener, cfg, lim.ClientConns, f.session)
+}
+
+// bye closes all clients' connections in order.
+func (f *front) bye(reason string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.byeing = true
+	for c := range f.clients {
+		c.conn.Bye(reason)
+	}
+	f.noteNone()
+}
+
+func (f *front) noteNone() {
+	if f.byeing && len(f.clients) == 0 && !f.isNone {
+		f.isNone = true
+		close(f.none)
+	}
+}
+
+func (f *front) empty() <-chan struct{} { return f.none }
+
+func (f *front) session(ctx context.Context, conn *proto.Conn) {
+	c := &client{conn: conn, calls: map[uint64]*call{}}
+	f.mu.Lock()
+	f.clients[c] = struct{}{}
+	f.mu.Unlock()
+	err := conn.Run(ctx, func(fr proto.Frame) error { return f.frame(c, fr) })
+	if err != nil && ctx.Err() == nil && !errors.Is(err, context.Canceled) {
+		f.i.log.Warn("client connection ended", "role", conn.Their().Role, "client", conn.Their().Number,
+			"error", err)
+	}
+	f.mu.Lock()
+	delete(f.clients, c)
+	f.noteNone()
+	f.mu.Unlock()
+	c.mu.Lock()
+	left := c.calls
+	c.calls = nil
+	c.mu.Unlock()
+	for _, k := range left {
+		f.i.in.put(departed{k})
+	}
+}
+
+func (f *front) frame(c *client, fr proto.Frame) error {
+	switch fr.Type {
+	case proto.TypeRequest:
+		return f.request(c, fr)
+	case proto.TypeCancel:
+		c.mu.Lock()
+		k := c.calls[fr.Stream]
+		c.mu.Unlock()
+		if k != nil {
+			f.i.in.put(departed{k})
+		}
+		return nil
+	case proto.TypeProbe:
+		return c.conn.Post(proto.TypeProbed, fr.Stream, proto.Answer{Code: proto.OK}, nil)
+	}
+	return fmt.Errorf("a client sends no frame of type %v", fr.Type)
+}
+
+func (f *front) request(c *client, fr proto.Frame) error {
+	if err := c.conn.Open(fr.Stream); err != nil {
+		return err
+	}
+	k := &call{client: c, stream: fr.Stream, payload: fr.Payload, at: f.i.now()}
+	if err := fr.Decode(&k.req); err != nil {
+		return err
+	}
+	lim := f.i.cfg.Site.Limits
+	refuse := func(reason string, advice time.Duration) error {
+		f.i.Stats.Refused.Add(1)
+		a := proto.Answer{Code: proto.Refused, Reason: reason, Advice: advice}
+		c.conn.Done(fr.Stream)
+		f.i.log.Debug("refused", "reason", reason, "token", k.req.Token)
+		return c.conn.Post(proto.TypeAnswer, fr.Stream, a, nil)
+	}
+	if why := f.bad(&k.req); why != "" {
+		return refuse(why, 0)
+	}
+	// Counted first, then looked whether the instance stops: the loop ends only when it sees none counted.
+	open := f.open.Add(1)
+	switch {
+	case f.i.stopping():
+		f.open.Add(-1)
+		return refuse(ReasonStopping, lim.MaxRetryAfter)
+	case open > int64(lim.Open):
+		f.open.Add(-1)
+		return refuse(ReasonOverload, lim.MaxRetryAfter)
+	}
+	c.mu.Lock()
+	c.calls[fr.Stream] = k
+	c.mu.Unlock()
+	f.i.Stats.Taken.Add(1)
+	f.i.in.put(k)
+	return nil
+}
+
+// bad bounds what a client states; "" is good.
+func (f *front) bad(q *proto.Request) string {
+	site := &f.i.cfg.Site
+	if int(q.Class) >= len(site.Classes) || int(q.Plan) >= len(site.Plans) || q.Units == 0 ||
+		float64(q.Units) > site.MostUnits || q.Wait <= 0 || q.Wait > time.Hour ||
+		q.Cell < control.NewObject || q.Cell > 1<<16-1 {
+		return ReasonBad
+	}
+	return ""
+}
+
+// answer gives a call its one final answer. Only the loop calls it, once a call.
+func (f *front) answer(k *call, a proto.Answer, payload []byte) {
+	f.open.Add(-1)
+	k.client.mu.Lock()
+	delete(k.client.calls, k.stream)
+	k.client.mu.Unlock()
+	k.client.conn.Done(k.stream)
+	err := k.client.conn.Post(proto.TypeAnswer, k.stream, a, payload)
+	if errors.Is(err, proto.ErrPayload) || errors.Is(err, proto.ErrHeader) {
+		a = proto.Answer{Code: proto.Failed, Reason: ReasonTooLarge}
+		_ = k.client.conn.Post(proto.TypeAnswer, k.stream, a, nil) // a closed connection has its own end
+	}
+	if hook := f.i.cfg.Hooks.Answered; hook != nil {
+		hook(k.client.conn, k.stream, a, payload)
+	}
+}
--- /dev/null
+++ b/internal/sched/pool.go
@@ -0,0 +1,334 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/nodelist"
+	"landingpaddle/internal/proto"
+)
+
+// pool holds the connections to nodes. It belongs to the loop; connections report to its inbox.
+type pool struct {
+	ctx   context.Context
+	g     *errgroup.Group
+	i     *Instance
+	cfg   proto.Config
+	nodes map[control.Server]*nodeLink
+}
+
+// nodeLink is what the pool holds of one node.
+type nodeLink struct {
+	server  control.Server
+	conns   []*nodeConn
+	dialing int
+	waiting []*attempt
+}
+
+// nodeConn is one connection to a node.
+type nodeConn struct {
+	server control.Server
+	conn   *proto.Conn
+
+	mu    sync.Mutex
+	atts  map[uint64]*attempt
+	next  uint64
+	ended bool
+}
+
+type (
+	dialed struct {
+		server control.Server
+		conn   *nodeConn
+		err    error
+	}
+	dropped struct{ conn *nodeConn }
+)
+
+func newPool(ctx context.Context, g *errgroup.Group, i *Instance) *pool {
+	lim := i.cfg.Site.Limits
+	cfg := proto.Config{Hello: i.hello(), Gate: i.cfg.Hooks.Gate, Handshake: lim.ConnectTimeout,
+		Idle: lim.IdleClose, Silence: lim.Silence}
+	cfg.Limits = proto.Limits{Header: 4 << 10, Payload: int(lim.Payload), Streams: lim.Streams,
+		Backlog: 4*int(lim.Payload) + 1<<20}
+	return &pool{ctx: ctx, g: g, i: i, cfg: cfg, nodes: map[control.Server]*nodeLink{}}
+}
+
+func addrText(s control.Server) string { return nodelist.AddrOf(s).String() }
+
+func (p *pool) link(s control.Server) *nodeLink {
+	n := p.nodes[s]
+	if n == nil {
+		n = &nodeLink{server: s}
+		p.nodes[s] = n
+	}
+	return n
+}
+
+// send puts an attempt on the connection with the least in flight, or lets it wait for one that is being
+// made. Where all that may be made are full, the node is out of reach for it.
+func (p *pool) send(a *attempt) {
+	n := p.link(a.server)
+	var best *nodeConn
+	for _, c := range n.conns {
+		if f := c.conn.InFlight(); f < c.conn.Streams() && (best == nil || f < best.conn.InFlight()) {
+			best = c
+		}
+	}
+	if best != nil {
+		p.post(best, a)
+		return
+	}
+	lim := p.i.cfg.Site.Limits
+	if len(n.waiting) >= n.dialing*lim.Streams {
+		if len(n.conns)+n.dialing >= lim.NodeConns {
+			p.i.in.put(result{att: a, code: control.ConnectFailed})
+			return
+		}
+		p.dial(n)
+	}
+	n.waiting = append(n.waiting, a)
+}
+
+func (p *pool) dial(n *nodeLink) {
+	n.dialing++
+	server := n.server
+	p.g.Go(func() error {
+		ctx, cancel := context.WithTimeout(p.ctx, p.i.cfg.Site.Limits.ConnectTimeout)
+		defer cancel()
+		conn, err := proto.Dial(ctx, addrText(server), p.cfg)
+		if err != nil {
+			p.i.in.put(dialed{server: server, err: err})
+			return nil
+		}
+		c := &nodeConn{server: server, conn: conn, atts: map[uint64]*attempt{}}
+		p.i.in.put(greeted{server, conn.Their().Boot})
+		p.i.in.put(dialed{server: server, conn: c})
+		err = conn.Run(p.ctx, func(f proto.Frame) error { return p.frame(c, f) })
+		p.reset(c, err)
+		return nil
+	})
+}
+
+// dialed takes a new connection in: attempts that waited leave on it, or fail with it when it could not be
+// made.
+func (p *pool) dialed(l *loop, x dialed) {
+	n := p.link(x.server)
+	n.dialing--
+	if x.err != nil {
+		p.i.log.Info("node unreachable", "node", addrText(x.server), "error", x.err)
+		if n.dialing > 0 {
+			return
+		}
+		for _, a := range n.waiting {
+			if !a.over {
+				l.ended(result{att: a, code: control.ConnectFailed})
+			}
+		}
+		n.waiting = nil
+		p.forget(n)
+		return
+	}
+	n.conns = append(n.conns, x.conn)
+	waiting := n.waiting
+	n.waiting = nil
+	for _, a := range waiting {
+		switch {
+		case a.over:
+		case a.req.done: // nothing is sent for a request that has its answer
+			l.ended(result{att: a, code: control.Moot})
+		default:
+			p.send(a)
+		}
+	}
+}
+
+// post writes an attempt's request. What cannot be queued has surely not run.
+func (p *pool) post(c *nodeConn, a *attempt) {
+	c.mu.Lock()
+	c.next++
+	a.conn, a.stream = c, c.next
+	ended := c.ended || c.conn.Open(a.stream) != nil
+	if !ended {
+		c.atts[a.stream] = a
+	}
+	c.mu.Unlock()
+	req := a.req.call.req
+	req.Attempt, req.Wait = uint16(a.n), a.deadline-p.i.now()
+	code := control.ConnectFailed
+	if !ended {
+		err := c.conn.Post(proto.TypeRequest, a.stream, req, a.req.call.payload)
+		if err == nil {
+			return
+		}
+		p.i.log.Warn("request not sent", "node", addrText(a.server), "error", err)
+	}
+	if c.take(a.stream) != nil || ended {
+		p.i.in.put(result{att: a, code: code})
+	}
+}
+
+// take removes an attempt from those in flight; nil if it is not there any more.
+func (c *nodeConn) take(stream uint64) *attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.atts[stream]
+	delete(c.atts, stream)
+	return a
+}
+
+// cancel tells the node that an answer is no longer wanted. The stream stays in flight until the node ends
+// it, so that a node that answers nothing does not get more than was agreed.
+func (p *pool) cancel(a *attempt) {
+	if a.conn == nil {
+		return
+	}
+	if a.conn.take(a.stream) != nil {
+		_ = a.conn.conn.Post(proto.TypeCancel, a.stream, nil, nil) // a closed connection reports itself
+	}
+}
+
+// frame runs on a connection's own goroutine.
+func (p *pool) frame(c *nodeConn, f proto.Frame) error {
+	switch f.Type {
+	case proto.TypeAnswer:
+		var answer proto.Answer
+		if err := f.Decode(&answer); err != nil {
+			return err
+		}
+		if !c.conn.Done(f.Stream) {
+			return fmt.Errorf("an answer to stream %d, which is not in flight", f.Stream)
+		}
+		code, err := codeOf(answer.Code)
+		if err != nil {
+			return err
+		}
+		if a := c.take(f.Stream); a != nil {
+			p.i.in.put(result{att: a, code: code, answer: answer, payload: f.Payload})
+		}
+		return nil
+	case proto.TypeFirst:
+		c.mu.Lock()
+		a := c.atts[f.Stream]
+		c.mu.Unlock()
+		if a != nil {
+			p.i.in.put(begun{a})
+		}
+		return nil
+	case proto.TypeDrain:
+		p.i.in.put(notice{c.server, c.conn.Their().Boot})
+		return nil
+	case proto.TypeProbed:
+		c.conn.Done(f.Stream)
+		return nil
+	}
+	return fmt.Errorf("a node sends no frame of type %v", f.Type)
+}
+
+// reset gives each attempt that was out on a connection its own outcome.
+func (p *pool) reset(c *nodeConn, cause error) {
+	c.mu.Lock()
+	c.ended = true
+	out := c.atts
+	c.atts = nil
+	c.mu.Unlock()
+	if cause != nil && p.ctx.Err() == nil {
+		p.i.log.Info("node connection ended", "node", addrText(c.server), "out", len(out), "error", cause)
+	}
+	for _, a := range out {
+		p.i.in.put(result{att: a, code: control.Reset})
+	}
+	p.i.in.put(dropped{c})
+}
+
+func (p *pool) dropped(c *nodeConn) {
+	n := p.link(c.server)
+	for i, o := range n.conns {
+		if o == c {
+			n.conns = append(n.conns[:i], n.conns[i+1:]...)
+			break
+		}
+	}
+	p.forget(n)
+}
+
+// forget drops a node to which nothing leads any more.
+func (p *pool) forget(n *nodeLink) {
+	if len(n.conns) == 0 && n.dialing == 0 && len(n.waiting) == 0 {
+		delete(p.nodes, n.server)
+	}
+}
+
+// closeIdle closes the connections to a node on which nothing is in flight.
+func (p *pool) closeIdle(s control.Server) {
+	if n := p.nodes[s]; n != nil {
+		for _, c := range n.conns {
+			if c.conn.InFlight() == 0 {
+				c.conn.Bye("not needed")
+			}
+		}
+	}
+}
+
+// probe asks a node on a connection of its own whether it lives.
+func (p *pool) probe(l *loop, s control.Server) {
+	at := l.now
+	p.g.Go(func() error {
+		code := control.ConnectFailed
+		var load []float64
+		ctx, cancel := context.WithTimeout(p.ctx, p.i.cfg.Site.Limits.ConnectTimeout)
+		defer cancel()
+		if conn, err := proto.Dial(ctx, addrText(s), p.cfg); err == nil {
+			code = control.TimedOut
+			_ = conn.Open(1)
+			_ = conn.Post(proto.TypeProbe, 1, nil, nil)
+			_ = conn.Run(ctx, func(f proto.Frame) error { // its end is the result
+				if f.Type == proto.TypeProbed {
+					var a proto.Answer
+					if f.Decode(&a) == nil {
+						code, load = control.OK, a.Load
+					}
+					return proto.ErrClosed
+				}
+				return nil
+			})
+		}
+		if p.ctx.Err() == nil {
+			p.i.in.put(control.Probed{Server: s, Code: code, Took: p.i.now() - at, Load: load})
+		}
+		return nil
+	})
+}
+
+// codeOf turns a node's code into the module's.
+func codeOf(c proto.Code) (control.Code, error) {
+	switch c {
+	case proto.OK:
+		return control.OK, nil
+	case proto.Error:
+		return control.Error, nil
+	case proto.Full:
+		return control.Full, nil
+	case proto.Dropped:
+		return control.Cancelled, nil
+	case proto.Moot:
+		return control.Moot, nil
+	}
+	return 0, fmt.Errorf("code %d is none of a node's", c)
+}
+
+func codeWord(c proto.Code) string {
+	switch c {
+	case proto.OK:
+		return "served"
+	case proto.Refused:
+		return "refused"
+	}
+	return "failed"
+}
+
+func statusWord(s control.Status) string { return [...]string{"gone", "ready", "draining"}[s] }
--- /dev/null
+++ b/internal/sched/reasons.go
@@ -0,0 +1,42 @@
+package sched
+
+import "landingpaddle/control"
+
+// Reasons of refusals and failures: the same words in answers and logs. docs/ops/running.md says what to do.
+const (
+	ReasonBad         = "bad-request"  // a field is out of the site's bounds
+	ReasonOverload    = "overload"     // more requests are open than the instance takes
+	ReasonStopping    = "stopping"     // the instance stops
+	ReasonHeld        = "not-in-time"  // given up before any attempt: it could not be served in time
+	ReasonFull        = "node-full"    // the last attempt was turned away
+	ReasonTimeout     = "node-timeout" // the last attempt got no answer in time
+	ReasonUnreachable = "node-unreachable"
+	ReasonReset       = "node-reset" // the connection broke while the last attempt was out
+	ReasonError       = "node-error"
+	ReasonCancelled   = "cancelled"
+	ReasonMoot        = "not-there" // the node does not hold the cell
+	ReasonLeft        = "client-left"
+	ReasonOverdue     = "overdue" // the module gave no answer in time: a fault of ours, logged as an error
+	ReasonTooLarge    = "answer-too-large"
+)
+
+// reasonOf is the word for an attempt's end.
+func reasonOf(c control.Code) string {
+	switch c {
+	case control.Full:
+		return ReasonFull
+	case control.TimedOut:
+		return ReasonTimeout
+	case control.ConnectFailed:
+		return ReasonUnreachable
+	case control.Reset:
+		return ReasonReset
+	case control.Error:
+		return ReasonError
+	case control.Cancelled:
+		return ReasonCancelled
+	case control.Moot:
+		return ReasonMoot
+	}
+	return ReasonHeld
+}
