--- a/cmd/landingpaddle/standins.go
+++ b/cmd/landingpaddle/standins.go
@@ -20,9 +20,11 @@
 type nodeCmd struct {
 	Config string `arg:"" type:"existingfile" help:"Settings file (node …)."`
 	Log    string `help:"Write the node's own log here when it ends, for audit."`
+
+	Linger time.Duration `default:"2s" help:"After the first signal it drains, and ends when this has passed."`
 }
 
-// Run serves as a stand-in node: the first signal drains it, a second ends it.
+// Run serves as a stand-in node: the first signal drains it, a second ends it at once.
 func (c *nodeCmd) Run() error {
 	set := config.DefaultNode()
 	if err := config.Load(c.Config, "node", &set); err != nil {
@@ -37,7 +39,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signals(n.Drain)
+	ctx, cancel := signals(func() {
+		n.Drain()
+		time.AfterFunc(c.Linger, n.Kill)
+	})
 	defer cancel()
 	err = n.Run(ctx)
 	return orWrite(err, events, c.Log)
--- /dev/null
+++ b/examples/day-keyed.lisp
@@ -0,0 +1,28 @@
+; The kind of deployment with keyed, ordered writes and limits: a list that must be asked, no load reports, writes
+; whose repeats one hall drops, a rolling restart under a surge.
+(day
+  (name "keyed and ordered writes with limits")
+  (length 10s)
+  (instances 3)
+  (nodes 6 (kind (cores 3) (queue 24) (per-unit 7ms) (write-times 1.8) (deferred 0.3) (flush 2500ms)
+                 (again 0.4) (last 2) (cancel-drops) (cancel-stops) (drain-notices)))
+  (list (delay 600ms) (workers 2) (call-time 1ms) (max-wait 300ms))
+  (clients 12 (retries 1) (wait 120ms) (heed) (elsewhere))
+  (site
+    (zones north middle south) (ask) (mean-units 2) (most-units 6) (meter 2s) (elsewhere)
+    (class read  (aim 400ms) (deadline 2s) (repeat safe) (worth 2) (late 0.15))
+    (class write (aim 500ms) (deadline 2500ms) (repeat keyed) (group zone) (window 5s) (in-order) (writes)
+                 (worth 2) (late 0.15))
+    (plan limited (rate 20) (reserve 10) (weight 1) (limit 90) (burst 120) (slack 12) (worth 0.7))
+    (plan open    (rate 40) (reserve 40) (weight 2) (worth 0.9))
+    (rules (drain-grace 1s) (cold-share 0.25) (cold-units 150) (ramp 5s) (fall-window 1s) (fall-multiple 2.5)
+           (order-pause 100ms) (ask-within 10s)))
+  (traffic (class read)  (plan limited) (rate 110) (volumes 6) (units 1 4) (keys 300) (writers 2))
+  (traffic (class write) (plan limited) (rate 50)  (volumes 6) (units 1 4) (keys 30) (writers 2))
+  (traffic (class read)  (plan open)    (rate 90)  (volumes 4) (units 1 4) (keys 300) (writers 3))
+  (traffic (class write) (plan open)    (rate 40)  (volumes 4) (units 1 4) (keys 30) (writers 3))
+  (at 2s (surge (plan limited) (volumes 2) (times 5) (for 3s)))
+  (at 3s (roll (every 800ms) (back 300ms)))
+  (at 4s (reconnect (share 0.4)))
+  (at 5s (neighbour (nodes 1 2) (share 0.5) (on 300ms) (off 500ms) (for 3s)))
+  (at 7s (lose-answers (nodes 3) (share 0.3) (for 1s))))
