--- a/internal/lab/hard_test.go
+++ b/internal/lab/hard_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,7 +71,8 @@
 		if e.Kind == KindStall {
 			woke = e.T + e.Wait
 		}
-		if e.Kind == KindAnswer && e.Inst == 0 && e.Code == proto.OK && woke > 0 && e.T > woke+int64(time.Second/2) {
+		served := e.Kind == KindAnswer && e.Inst == 0 && e.Code == proto.OK
+		if served && woke > 0 && e.T > woke+int64(time.Second/2) {
 			after++
 		}
 	}
@@ -125,3 +128,34 @@
 		}
 	}
 }
+
+// The answer of an operation whose connection broke a moment before is nobody's: its node logs it as called
+// off.
+func TestAnAnswerToABrokenConnectionIsLoggedAsCalledOff(t *testing.T) {
+	d := smallDay(t, readClass, "", reads)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = proto.Serve(ctx, ln, proto.Config{}, 1, func(context.Context, *proto.Conn) {}) })
+	defer wg.Wait()
+	defer cancel()
+	conn, err := proto.Dial(ctx, ln.Addr().String(), proto.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	node, err := NewNode(NodeConfig{Site: &d.Site, Log: NewLog(), Meter: NewMeter(0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.ln.Close()
+	l := &life{n: node, conns: map[*proto.Conn]map[uint64]*op{conn: {}}}
+	conn.Close(proto.ErrClosed)
+	l.answer(&op{conn: conn, stream: 1, calledBy: func() {}}, KindEnd, proto.OK)
+	events := node.cfg.Log.Events()
+	if last := events[len(events)-1]; last.Kind != KindCalled {
+		t.Errorf("logged %+v", events)
+	}
+}
