--- /dev/null
+++ b/control/fuzz_test.go
@@ -0,0 +1,234 @@
+package control
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// FuzzHost drives a host with whatever a fleet can throw at it, by a seed: requests of all classes,
+// outcomes of every code in any order, lists of any form, clients that leave, timers late. Whatever comes:
+// each request gets one final answer by its time, nothing is sent for it after that, attempts stay within
+// bounds, an unsafe request is not sent again while it may have run, nothing is sent to a node told as
+// draining or gone, and all is forgotten.
+func FuzzHost(f *testing.F) {
+	for seed := range uint64(8) {
+		f.Add(seed, uint8(seed*37))
+	}
+	f.Fuzz(func(t *testing.T, seed uint64, shape uint8) {
+		newChaos(t, seed, shape).run(600)
+	})
+}
+
+// chaos is what happens to one host, and what is known of it from outside.
+type chaos struct {
+	t      *testing.T
+	rng    *rand.Rand
+	h      *Host
+	set    Settings
+	now    time.Duration
+	timers []chaosTimer
+	reqs   map[uint32]*chaosRequest
+	out    []chaosSend
+	status map[Server]Status
+	nextID uint32
+}
+
+type chaosTimer struct {
+	at    time.Duration
+	token uint32
+}
+
+type chaosRequest struct {
+	Request
+	sends    int
+	answered bool
+	left     time.Duration // when its client left; an answer of the same batch crossed that
+	mayRun   bool
+}
+
+type chaosSend struct {
+	Send
+	attempt int
+	end     time.Duration
+}
+
+func newChaos(t *testing.T, seed uint64, shape uint8) *chaos {
+	set := scaleSettings()
+	set.Hosts = 1 + int(shape>>4)
+	set.Ask = shape&1 != 0
+	set.Budget = shape&2 != 0
+	set.OrderPause = 20 * ms
+	set.Classes = []Class{
+		{Aim: 200 * ms, Deadline: 800 * ms, Worth: 1},
+		{Aim: 200 * ms, Deadline: 800 * ms, Repeat: Keyed, Group: Group(shape >> 2 & 1), Window: 400 * ms,
+			InOrder: true, Writes: true, Worth: 1},
+		{Aim: 200 * ms, Deadline: 800 * ms, Repeat: Unsafe, Worth: 1}}
+	set.Plans = []Plan{{Rate: 10, Weight: 1}, {Rate: 10, Weight: 2, Reserve: 5, Limit: 50, Burst: 50}}
+	c := &chaos{t: t, rng: rand.New(rand.NewPCG(seed, 7)), set: set, now: time.Hour, h: New(seed, set),
+		reqs: map[uint32]*chaosRequest{}, status: map[Server]Status{}}
+	c.handle(Members{Form: ListCached, Entries: c.entries(6)})
+	c.decide()
+	return c
+}
+
+func (c *chaos) entries(n int) (out []Entry) {
+	for i := range n {
+		e := Entry{Server: server(i), Cell: uint16(i % 4), Zone: uint8(i % 2), Status: Status(c.rng.IntN(3))}
+		if c.rng.IntN(3) == 0 {
+			e.Boot = c.now - time.Duration(c.rng.Int64N(int64(20*time.Second)))
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (c *chaos) handle(ev Event) {
+	if m, ok := ev.(Members); ok && m.Form != ListFailed {
+		if m.Form != ListDelta {
+			clear(c.status)
+		}
+		for _, e := range m.Entries {
+			c.status[e.Server] = e.Status
+		}
+	}
+	c.h.Handle(c.now, ev)
+}
+
+func (c *chaos) run(steps int) {
+	for range steps {
+		c.now += time.Duration(c.rng.Int64N(int64(4 * ms)))
+		if c.rng.IntN(100) == 0 {
+			c.now += time.Duration(c.rng.Int64N(int64(300 * ms))) // a stall
+		}
+		for range c.rng.IntN(4) {
+			c.event()
+		}
+		c.due()
+		c.decide()
+	}
+	for range 2000 { // all comes to its end
+		c.now += 2 * ms
+		c.due()
+		c.decide()
+	}
+	for id, r := range c.reqs {
+		if !r.answered {
+			c.t.Fatalf("request %d never got an answer", id)
+		}
+	}
+	if len(c.h.reqs) != 0 || c.h.out != 0 || len(c.h.busy) != 0 {
+		c.t.Fatalf("%d requests, %d attempts, %d queues left behind", len(c.h.reqs), c.h.out, len(c.h.busy))
+	}
+}
+
+func (c *chaos) event() {
+	switch x := c.rng.IntN(20); {
+	case x < 16:
+		c.nextID++
+		r := &chaosRequest{Request: Request{ID: c.nextID, Class: c.rng.IntN(3), Cell: c.rng.IntN(6) - 1,
+			Plan: c.rng.IntN(2), Volume: uint64(c.rng.IntN(9)), Units: float64(1 + c.rng.IntN(8)), Writers: 1,
+			Expires: c.now + time.Duration(c.rng.Int64N(int64(800*ms)))}}
+		if r.Class == 1 {
+			r.Key = uint64(1 + c.rng.IntN(3))
+		}
+		c.reqs[r.ID] = r
+		c.handle(r.Request)
+	case x == 16:
+		c.handle(Members{Form: ListDelta, Entries: c.entries(6)[c.rng.IntN(6):]})
+	case x == 17 && c.rng.IntN(4) == 0:
+		c.handle(Members{Form: ListFull, Entries: c.entries(1 + c.rng.IntN(6))})
+	case x == 18:
+		c.handle(Members{Form: ListFailed})
+	case x == 19 && c.nextID > 0:
+		id := 1 + c.rng.Uint32N(c.nextID)
+		if r := c.reqs[id]; !r.answered {
+			r.answered, r.left = true, c.now
+			c.handle(Left{ID: id})
+		}
+	}
+}
+
+// due lets timers and attempts end; clients whose time is up must have been answered.
+func (c *chaos) due() {
+	timers := c.timers
+	c.timers = nil
+	for _, x := range timers {
+		if x.at > c.now {
+			c.timers = append(c.timers, x)
+			continue
+		}
+		c.handle(Timer{Token: x.token})
+	}
+	sends := c.out
+	c.out = nil
+	for _, s := range sends {
+		r := c.reqs[s.ID]
+		code := []Code{OK, OK, OK, OK, Error, Full, ConnectFailed, Reset, TimedOut}[c.rng.IntN(9)]
+		if r.Expires <= c.now {
+			code = TimedOut
+		} else if s.end > c.now {
+			c.out = append(c.out, s)
+			continue
+		}
+		if code != Full && code != ConnectFailed {
+			r.mayRun = true
+		}
+		r.answered = r.answered || code == OK
+		c.handle(Outcome{ID: s.ID, Attempt: s.attempt, Server: s.Server, Code: code, Took: 10 * ms,
+			Ended: r.answered})
+	}
+}
+
+func (c *chaos) decide() {
+	for _, a := range c.h.Decide(c.now) {
+		switch x := a.(type) {
+		case Send:
+			c.send(x)
+		case Refuse:
+			r := c.final(x.ID)
+			untold := r.Class == 2 || r.Class == 1 && c.set.Classes[1].Group != GroupAll
+			if r.mayRun && untold {
+				c.t.Fatalf("request %d refused while it may have run", x.ID)
+			}
+		case Fail:
+			c.final(x.ID)
+		case SetTimer:
+			c.timers = append(c.timers, chaosTimer{c.now + x.After, x.Token})
+		}
+	}
+	for id, r := range c.reqs {
+		if !r.answered && c.now > r.Expires+400*ms {
+			c.t.Fatalf("request %d is overdue", id)
+		}
+	}
+}
+
+func (c *chaos) final(id uint32) *chaosRequest {
+	r := c.reqs[id]
+	if r == nil || r.answered && r.left != c.now {
+		c.t.Fatalf("request %d answered twice or unknown", id)
+	}
+	r.answered = true
+	return r
+}
+
+func (c *chaos) send(s Send) {
+	r := c.reqs[s.ID]
+	switch {
+	case r.answered:
+		c.t.Fatalf("request %d sent after its answer", s.ID)
+	case r.sends >= c.set.MaxAttempts:
+		c.t.Fatalf("request %d sent %d times", s.ID, r.sends+1)
+	case r.Class == 2 && r.mayRun:
+		c.t.Fatalf("unsafe request %d sent again", s.ID)
+	case c.status[s.Server] != Ready:
+		c.t.Fatalf("request %d sent to a node that is not ready", s.ID)
+	}
+	end := time.Duration(c.rng.Int64N(int64(150 * ms)))
+	if s.Allow > 0 {
+		end = min(end, s.Allow)
+	}
+	c.out = append(c.out, chaosSend{s, r.sends, c.now + end})
+	r.sends++
+}
--- a/internal/lab/bad-day.lisp
+++ b/internal/lab/bad-day.lisp
@@ -46,4 +46,5 @@
   (at 17s   (impatient (share 0.3) (wait 150ms) (for 3s)))
   (at 18s   (roll (every 600ms) (back 300ms)))
   (at 19s   (surge (plan operational) (volumes 2) (times 4) (for 2s)))
+  (at 19500ms (stuck-connections (nodes 2) (for 1s)))
   (at 20s   (stand-still (nodes 6) (for 500ms))))
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -578,6 +578,11 @@
 		each(t.Reset.Nodes, 0, (*Node).ResetConns, none)
 	case t.Corrupt != nil:
 		each(t.Corrupt.Nodes, 0, func(n *Node) { n.Faults.Corrupt(1) }, none)
+	case t.Stuck != nil:
+		each(t.Stuck.Nodes, 0, func(n *Node) {
+			p.log.Add(Event{Kind: KindStuck, Node: n.cfg.Number, Wait: int64(t.Stuck.For)})
+			n.Faults.Stick(t.Stuck.For)
+		}, none)
 	case t.Still != nil:
 		each(t.Still.Nodes, 0, func(n *Node) { n.Faults.Still(t.Still.For) }, none)
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -19,6 +19,7 @@
 	corrupt   int     // answers to come
 	hang      bool    // accepts and never answers
 	stillTill time.Time
+	stuckTill time.Time // connections neither read nor write
 }
 
 func (f *Faults) set(change func(*Faults)) {
@@ -47,6 +48,19 @@
 // Still makes the node stand still for a while.
 func (f *Faults) Still(d time.Duration) { f.set(func(f *Faults) { f.stillTill = time.Now().Add(d) }) }
 
+// Stick stops all reading and writing on the node's connections for a while; they stay open.
+func (f *Faults) Stick(d time.Duration) { f.set(func(f *Faults) { f.stuckTill = time.Now().Add(d) }) }
+
+// gate holds connections up while they are stuck.
+func (f *Faults) gate() {
+	f.mu.Lock()
+	d := time.Until(f.stuckTill)
+	f.mu.Unlock()
+	if d > 0 {
+		time.Sleep(min(d, 10*time.Second))
+	}
+}
+
 // factor is how many times as long work takes now.
 func (f *Faults) factor() float64 {
 	f.mu.Lock()
--- a/internal/lab/hard_test.go
+++ b/internal/lab/hard_test.go
@@ -117,6 +117,7 @@
 		(at 1500ms (corrupt (nodes 0 1))) (at 1600ms (lose-answers (nodes 2) (share 0.5) (for 500ms)))
 		(at 2200ms (kill-node (nodes 0) (back 100ms)))`)
 	a := &audit{site: &d.Site, events: play(t, d), out: map[string]*Verdict{}, stalls: map[int][]span{},
+		stuck: map[int][]span{},
 		kills: map[int][]int64{}, zones: map[int]int{}, nodes: map[string]int{}, tries: map[tryID]*tryLog{}}
 	a.gather()
 	for _, s := range a.sent {
--- a/internal/lab/log.go
+++ b/internal/lab/log.go
@@ -44,6 +44,7 @@
 	KindUp      Kind = "up"      // an instance started
 	KindKill    Kind = "kill"    // an instance was killed
 	KindStall   Kind = "stall"   // an instance stood still, for Wait
+	KindStuck   Kind = "stuck"   // a node's connections were neither read nor written, for Wait
 	KindPulse   Kind = "pulse"   // the whole laboratory stood still, for Wait
 )
 
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -205,7 +205,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	lim := proto.Limits{Header: 4 << 10, Payload: int(n.cfg.Site.Limits.Payload),
 		Streams: n.cfg.Site.Limits.Streams, Backlog: 64 << 20}
-	cfg := proto.Config{Limits: lim, Idle: 10 * time.Minute,
+	cfg := proto.Config{Limits: lim, Idle: 10 * time.Minute, Gate: n.Faults.gate,
 		Hello: proto.Hello{Role: "node", Number: uint32(n.cfg.Number), Boot: l.told}}
 	g.Go(func() error { return proto.Serve(ctx, ln, cfg, n.cfg.Kind.Conns, l.session) })
 	for range n.cfg.Kind.Cores {
