Settings in force that have no text are left out of what check prints

Need: check printed (peer-listen ""), which it does not read back.

Change: a field whose type has no text for its value is not printed.

Measured: the test that reads settings back no longer takes that line out by hand.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := strings.Replace(sexpr.Print("instance", i), "\n  (peer-listen \"\")", "", 1)
+	text := sexpr.Print("instance", i)
 	again, err := load(t, text)
 	if err != nil || sexpr.Print("instance", again) != sexpr.Print("instance", i) {
 		t.Errorf("%v\n%s", err, text)
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -236,7 +236,7 @@
 	var g errgroup.Group
 	g.Go(c.write)
 	err := c.read(handle)
-	c.Close(cmpErr(err, ErrClosed))
+	c.Close(orElse(err, ErrClosed))
 	werr := g.Wait()
 	c.mu.Lock()
 	cause := c.err
@@ -254,7 +254,8 @@
 	return err
 }
 
-func cmpErr(a, b error) error {
+// orElse is the first error that there is.
+func orElse(a, b error) error {
 	if a != nil {
 		return a
 	}
--- a/internal/sexpr/decode.go
+++ b/internal/sexpr/decode.go
@@ -386,8 +386,13 @@
 	b.WriteString(")")
 }
 
-// unset tells whether a value is none that could have been written: zero where zero is out of bounds.
+// unset tells whether a value is none that could have been written: zero where zero is out of bounds, or a
+// type of its own that has no text.
 func unset(v reflect.Value, f field) bool {
+	if m, ok := v.Interface().(encoding.TextMarshaler); ok {
+		text, err := m.MarshalText()
+		return err == nil && len(text) == 0
+	}
 	if f.min == "" || !v.IsZero() || v.Kind() == reflect.Slice {
 		return false
 	}
