Timers end with what they are for; what carrying out tells the module is decided at once

Need: a timer for each request's and attempt's time stayed until it ran out, so that rate times patience of them piled up (3 million at 54,000 a second and 30 s), and searching and collecting them showed in the tail.

Change: timers can be cancelled and are when the request or attempt is over. Without the stale ones a fault came to light that they had hidden: an attempt called off tells the module its outcome while actions are carried out, and what the module wanted done about it waited for the next event, up to the request's time. The loop goes round again now; the test of the actions fails without that.

--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -35,7 +36,8 @@
 	id      uint32
 	expires time.Duration
 	sends   int
-	out     map[int]*attempt
+	out     []*attempt
+	overdue *timer
 	done    bool
 	why     string // reason word of the last attempt's end
 }
@@ -50,6 +52,7 @@
 	conn     *nodeConn // where it is in flight; nil: waits for a connection
 	stream   uint64
 	over     bool
+	timeout  *timer
 }
 
 // loop owns the module and all state of requests. It never blocks on a socket.
@@ -59,7 +62,6 @@
 	view   *roster.Roster
 	pool   *pool
 	timers timers
-	seq    uint64
 	nextID uint32
 	reqs   map[uint32]*request
 	byCall map[*call]*request
@@ -67,7 +69,6 @@
 	fresh  bool          // the module was told of something
 	spare  []any
 	last   time.Duration // end of the last batch
-	acts   int
 }
 
 func newLoop(ctx context.Context, g *errgroup.Group, i *Instance) *loop {
@@ -142,6 +143,11 @@
 	if l.fresh {
 		l.decide()
 	}
+	if l.fresh {
+		// Carrying out told the module something (an attempt called off has its outcome at once): what it
+		// wants done about that must not wait for the next thing to happen.
+		l.i.in.ring()
+	}
 	l.last = l.i.now()
 }
 
@@ -228,21 +234,15 @@
 		}
 	}
 	q := &k.req
-	r := &request{call: k, id: l.nextID, expires: k.at + q.Wait - l.i.cfg.Site.Limits.Transit,
-		out: map[int]*attempt{}}
+	r := &request{call: k, id: l.nextID, expires: k.at + q.Wait - l.i.cfg.Site.Limits.Transit}
 	l.reqs[r.id], l.byCall[k] = r, r
 	class := l.i.cfg.Site.Classes[q.Class]
-	l.after(r.expires+l.i.cfg.Site.Rules.AnswerSlack, func(time.Duration) { l.overdue(r) })
+	r.overdue = l.timers.set(r.expires+l.i.cfg.Site.Rules.AnswerSlack, func() { l.overdue(r) })
 	l.tell(control.Request{ID: r.id, Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0,
 		Write: q.Write || class.Writes, Writers: int(q.Writers), Plan: int(q.Plan), Key: q.Key,
 		Expires: r.expires, Volume: q.Volume, Units: float64(q.Units)})
 }
 
-func (l *loop) after(at time.Duration, due func(time.Duration)) {
-	l.seq++
-	l.timers.set(at, l.seq, due)
-}
-
 // overdue is the net under the module: a request that it has not answered when its time is up is answered
 // here, and logged as the fault that it is.
 func (l *loop) overdue(r *request) {
@@ -274,6 +274,7 @@
 		return
 	}
 	r.done = true
+	l.timers.cancel(r.overdue)
 	delete(l.byCall, r.call)
 	switch a.Code {
 	case proto.OK:
@@ -306,7 +307,8 @@
 		return // its time-out came first, and was its one outcome
 	}
 	a.over = true
-	delete(r.out, a.n)
+	l.timers.cancel(a.timeout)
+	r.out = slices.DeleteFunc(r.out, func(o *attempt) bool { return o == a })
 	r.why = reasonOf(x.code)
 	if x.code == control.OK {
 		answer := x.answer
@@ -343,11 +345,15 @@
 			l.settle(r)
 		}
 	case control.Cancel:
-		if r := l.reqs[x.ID]; r != nil && r.out[x.Attempt] != nil {
-			l.giveUp(r.out[x.Attempt], control.Cancelled)
+		if r := l.reqs[x.ID]; r != nil {
+			for _, a := range slices.Clone(r.out) {
+				if a.n == x.Attempt {
+					l.giveUp(a, control.Cancelled)
+				}
+			}
 		}
 	case control.SetTimer:
-		l.after(l.now+x.After, func(time.Duration) { l.tell(control.Timer{Token: x.Token}) })
+		l.timers.set(l.now+x.After, func() { l.tell(control.Timer{Token: x.Token}) })
 	case control.Probe:
 		l.pool.probe(l, x.Server)
 	case control.Close:
@@ -382,7 +388,7 @@
 	}
 	a := &attempt{req: r, n: r.sends, server: x.Server, at: l.now, deadline: r.expires}
 	r.sends++
-	r.out[a.n] = a
+	r.out = append(r.out, a)
 	if x.Allow > 0 {
 		a.deadline = min(a.deadline, l.now+x.Allow)
 	}
@@ -392,7 +398,7 @@
 		return
 	}
 	l.i.Stats.Sends.Add(1)
-	l.after(a.deadline, func(time.Duration) { l.giveUp(a, control.TimedOut) })
+	a.timeout = l.timers.set(a.deadline, func() { l.giveUp(a, control.TimedOut) })
 	l.pool.send(a)
 }
 
--- a/internal/sched/timers.go
+++ b/internal/sched/timers.go
@@ -5,33 +5,58 @@
 	"time"
 )
 
-// timers hold what is due later, owned by the loop.
-type timers struct{ rows timerHeap }
+// timers hold what is due later, owned by the loop. What is no longer needed is taken out: a request is
+// mostly over long before its time is up, and timers left to run out would pile up with rate and patience.
+type timers struct {
+	rows timerHeap
+	seq  uint64
+}
 
-type timerRow struct {
+// timer is one of them; of two due at once the one set first goes first.
+type timer struct {
 	at  time.Duration
 	seq uint64
-	due func(now time.Duration)
+	due func()
+	row int // in the heap; -1: not in it
 }
 
-type timerHeap []timerRow
+type timerHeap []*timer
 
 func (t timerHeap) Len() int { return len(t) }
 func (t timerHeap) Less(i, j int) bool {
 	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].seq < t[j].seq
 }
-func (t timerHeap) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timerHeap) Push(x any)   { *t = append(*t, x.(timerRow)) }
+func (t timerHeap) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].row, t[j].row = i, j
+}
+func (t *timerHeap) Push(x any) {
+	row := x.(*timer)
+	row.row = len(*t)
+	*t = append(*t, row)
+}
 func (t *timerHeap) Pop() any {
 	old := *t
 	row := old[len(old)-1]
-	old[len(old)-1] = timerRow{}
+	old[len(old)-1] = nil
 	*t = old[:len(old)-1]
+	row.row = -1
 	return row
 }
 
-func (t *timers) set(at time.Duration, seq uint64, due func(now time.Duration)) {
-	heap.Push(&t.rows, timerRow{at, seq, due})
+// set makes due be called once the clock is at at.
+func (t *timers) set(at time.Duration, due func()) *timer {
+	t.seq++
+	row := &timer{at: at, seq: t.seq, due: due}
+	heap.Push(&t.rows, row)
+	return row
+}
+
+// cancel takes a timer out; nil and one that was called already are none.
+func (t *timers) cancel(row *timer) {
+	if row != nil && row.row >= 0 {
+		heap.Remove(&t.rows, row.row)
+	}
 }
 
 // next is when the first is due; false when none is set.
@@ -43,11 +68,8 @@
 }
 
 // run calls all that are due.
-func (t *timers) run(now time.Duration) (any bool) {
+func (t *timers) run(now time.Duration) {
 	for len(t.rows) > 0 && t.rows[0].at <= now {
-		row := heap.Pop(&t.rows).(timerRow)
-		row.due(now)
-		any = true
+		heap.Pop(&t.rows).(*timer).due()
 	}
-	return any
 }
