A node's greeting after a restart does not end a drain that the list tells of

Need: rereading showed that a greeting with a later start made a node ready that was listed as draining: an instance told of the drain would have sent there after the grace.

Change: a greeting moves the start only; the status stays as listed. A test holds it.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -230,7 +230,7 @@
 	if !ok || e.Boot == 0 || start <= e.Boot {
 		return control.Members{}, false
 	}
-	e.Boot, e.Status = start, control.Ready
+	e.Boot = start // its status stays as listed: that a drain is over is for the list to tell
 	r.entries[server] = e
 	return control.Members{Version: r.version, Form: control.ListDelta, Entries: r.tell(c, []Entry{e})}, true
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -109,6 +109,17 @@
 	}
 }
 
+// A node listed as draining that comes back is not sent to on its own greeting.
+func TestAGreetingDoesNotEndADrain(t *testing.T) {
+	r := New(skew)
+	draining := ready(1, wall-int64(time.Minute))
+	draining.Status = control.Draining
+	hear(t, r, 0, whole(1, draining), Believed)
+	if m, _ := r.Greeted(clock(0), server(1), wall); status(m, 1) != control.Draining {
+		t.Errorf("told %+v", m)
+	}
+}
+
 // A clock that is ahead does not put a start into the future, one that is behind does not make a cold node
 // warm, and the same start told again is the same time, however the clocks drift.
 func TestStartsInOtherClocks(t *testing.T) {
