One place for status words, entry order and connection limits; dead fields and twins gone

Need: rereading the whole change found the same piece written two and three times, and state that nothing reads.

The module searches its busy shards only when a queue has become empty.

--- a/cmd/landingpaddle/standins.go
+++ b/cmd/landingpaddle/standins.go
@@ -74,7 +74,7 @@
 	told := func(instance uint32, e roster.Entry) {
 		addr := nodelist.AddrOf(e.Server).String()
 		events.Add(lab.Event{Kind: lab.KindTold, Inst: int(instance), Node: -1, Boot: e.Boot,
-			Status: [...]string{"gone", "ready", "draining"}[e.Status], Reason: addr})
+			Status: e.Status.String(), Reason: addr})
 	}
 	s := nodelist.NewServer(nodelist.ServerConfig{Epoch: uint64(time.Now().UnixNano()), Delay: set.Delay,
 		Workers: set.Workers, CallTime: set.CallTime, MaxWait: set.MaxWait, Told: told})
--- a/control/api.go
+++ b/control/api.go
@@ -109,6 +109,8 @@
 	Draining
 )
 
+func (s Status) String() string { return [...]string{"gone", "ready", "draining"}[s] }
+
 // Entry is one node in a list.
 type Entry struct {
 	Server  Server
--- a/control/control.go
+++ b/control/control.go
@@ -648,7 +648,8 @@
 	if i := slices.Index(s.queue, r); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
 	}
-	if at, ok := slices.BinarySearchFunc(h.busy, s, byCell); ok && len(s.queue) == 0 {
+	if len(s.queue) == 0 {
+		at, _ := slices.BinarySearchFunc(h.busy, s, byCell)
 		h.busy = slices.Delete(h.busy, at, at+1)
 	}
 	s.units -= r.Units
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -22,7 +22,6 @@
 	log    *Log
 	addrs  []string // of instances
 	habit  Habit
-	site   int // payload limit
 
 	mu    sync.Mutex
 	conns map[int]*clientConn
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -37,7 +37,6 @@
 type Played struct {
 	Events   []Event
 	NotAsked int64
-	Stats    []sched.Stats // one for each instance, of its last life
 }
 
 // player runs one day.
@@ -93,7 +92,6 @@
 	gate   gate
 	mu     sync.Mutex
 	cancel context.CancelFunc
-	inst   *sched.Instance
 }
 
 // gate holds a process up while it is closed.
@@ -159,14 +157,6 @@
 	for _, c := range p.cl {
 		c.Close()
 	}
-	for _, h := range p.insts {
-		h.mu.Lock()
-		if h.inst != nil {
-			played.Stats = append(played.Stats, sched.Stats{})
-			copyStats(&played.Stats[len(played.Stats)-1], &h.inst.Stats)
-		}
-		h.mu.Unlock()
-	}
 	cancel()
 	err := g.Wait()
 	if context.Cause(ctx) == context.Canceled {
@@ -176,17 +166,6 @@
 	return played, err
 }
 
-func copyStats(to, from *sched.Stats) {
-	to.Taken.Store(from.Taken.Load())
-	to.Served.Store(from.Served.Load())
-	to.Refused.Store(from.Refused.Load())
-	to.Failed.Store(from.Failed.Load())
-	to.Sends.Store(from.Sends.Load())
-	to.Batches.Store(from.Batches.Load())
-	to.Overdue.Store(from.Overdue.Load())
-	to.Late.Store(from.Late.Load())
-}
-
 // build makes the fleet: the list service, the nodes, the instances, the clients.
 func (p *player) build(ctx context.Context, g *errgroup.Group) error {
 	d := p.day
@@ -261,12 +240,10 @@
 	if !ok {
 		return
 	}
-	p.log.Add(Event{Kind: KindTold, Inst: int(inst), Node: node, Status: statusWords[e.Status],
+	p.log.Add(Event{Kind: KindTold, Inst: int(inst), Node: node, Status: e.Status.String(),
 		Boot: e.Boot})
 }
 
-var statusWords = [...]string{"gone", "ready", "draining"}
-
 func (p *player) runNode(ctx context.Context, g *errgroup.Group, n *Node) {
 	g.Go(func() error {
 		if err := n.Run(ctx); err != nil && ctx.Err() == nil {
@@ -299,7 +276,7 @@
 	}
 	life, cancel := context.WithCancel(ctx)
 	h.mu.Lock()
-	h.cancel, h.inst = cancel, inst
+	h.cancel = cancel
 	h.mu.Unlock()
 	p.log.Add(Event{Kind: KindUp, Inst: h.n})
 	g.Go(func() error {
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -133,7 +133,6 @@
 	inst     int
 	stream   uint64
 	req      proto.Request
-	payload  []byte
 	ctx      context.Context // ends when it is called off
 	calledBy context.CancelFunc
 	state    opState // guarded by the life's lock
@@ -335,7 +334,7 @@
 func (l *life) frame(ctx context.Context, c *proto.Conn, inst int, f proto.Frame) error {
 	switch f.Type {
 	case proto.TypeRequest:
-		o := &op{conn: c, inst: inst, stream: f.Stream, payload: f.Payload, at: time.Now()}
+		o := &op{conn: c, inst: inst, stream: f.Stream, at: time.Now()}
 		if err := f.Decode(&o.req); err != nil {
 			return err
 		}
--- a/internal/nodelist/client.go
+++ b/internal/nodelist/client.go
@@ -1,6 +1,7 @@
 package nodelist
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -146,20 +147,13 @@
 			asked := l.asked
 			l, ended = nil, nil
 			if asked && ctx.Err() == nil {
-				c.cfg.Failed(fmt.Errorf("list service: connection ended: %w", orEnd(err)))
+				c.cfg.Failed(fmt.Errorf("list service: connection ended: %w", cmp.Or(err, proto.ErrClosed)))
 			}
 			wait()
 		}
 	}
 }
 
-func orEnd(err error) error {
-	if err != nil {
-		return err
-	}
-	return proto.ErrClosed
-}
-
 func (c *Client) connect(ctx context.Context, g *errgroup.Group) (*link, error) {
 	dial, cancel := context.WithTimeout(ctx, c.cfg.Conn.Defaults().Handshake)
 	defer cancel()
--- a/internal/nodelist/server.go
+++ b/internal/nodelist/server.go
@@ -56,7 +56,6 @@
 type session struct {
 	conn     *proto.Conn
 	instance uint32
-	watching bool
 	unheard  map[uint64][]roster.Entry // news sent, by version
 }
 
@@ -143,7 +142,6 @@
 			return nil
 		case proto.TypeCancel:
 			s.mu.Lock()
-			w.watching = false
 			delete(s.watchers, w)
 			s.mu.Unlock()
 			return nil
@@ -232,7 +230,6 @@
 		s.free[slices.Index(s.free, first)] = start.Add(s.cfg.CallTime)
 		s.after(wait+s.cfg.CallTime, func() {
 			if t == proto.TypeWatch {
-				w.watching = true
 				s.watchers[w] = struct{}{}
 			}
 			s.tell(w, s.since(ask), stream)
@@ -249,10 +246,7 @@
 			n.Entries = append(n.Entries, e)
 		}
 	}
-	slices.SortFunc(n.Entries, func(a, b roster.Entry) int {
-		return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]),
-			cmp.Compare(a.Server.Port, b.Server.Port))
-	})
+	slices.SortFunc(n.Entries, roster.ByServer)
 	return n
 }
 
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -236,7 +237,7 @@
 	var g errgroup.Group
 	g.Go(c.write)
 	err := c.read(handle)
-	c.Close(orElse(err, ErrClosed))
+	c.Close(cmp.Or(err, ErrClosed))
 	werr := g.Wait()
 	c.mu.Lock()
 	cause := c.err
@@ -254,14 +255,6 @@
 	return err
 }
 
-// orElse is the first error that there is.
-func orElse(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
 var errBye = errors.New("the other side said goodbye")
 
 func (c *Conn) read(handle func(Frame) error) error {
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -68,6 +68,12 @@
 // DefaultLimits fit object reads and writes of a few MiB.
 var DefaultLimits = Limits{Header: 4 << 10, Payload: 8 << 20, Streams: 1024, Backlog: 32 << 20}
 
+// LimitsFor fit payloads of a stated size: a few of them may wait to be written.
+func LimitsFor(payload, streams int) Limits {
+	return Limits{Header: DefaultLimits.Header, Payload: payload, Streams: streams, Backlog: 4*payload +
+		1<<20}
+}
+
 // Frame is one frame as read. The header is only valid until the next read; the payload is the reader's to
 // keep.
 type Frame struct {
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -47,8 +47,7 @@
 func (f *front) serve(ctx context.Context) error {
 	lim := f.i.cfg.Site.Limits
 	cfg := proto.Config{Hello: f.i.hello(), Gate: f.i.cfg.Hooks.Gate, Idle: 10 * time.Minute,
-		Limits: proto.Limits{Header: 4 << 10, Payload: int(lim.Payload), Streams: max(lim.Streams, 64) * 64,
-			Backlog: 4*int(lim.Payload) + 1<<20}}
+		Limits: proto.LimitsFor(int(lim.Payload), max(lim.Streams, 64)*64)}
 	return proto.Serve(ctx, f.i.cfg.Listener, cfg, lim.ClientConns, f.session)
 }
 
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -215,7 +215,7 @@
 		epoch, version := l.view.Held()
 		l.i.held.Store(&[2]uint64{epoch, version})
 		for _, e := range m.Entries {
-			l.i.log.Info("node listed", "node", addrText(e.Server), "status", statusWord(e.Status),
+			l.i.log.Info("node listed", "node", addrText(e.Server), "status", e.Status.String(),
 				"cell", e.Cell)
 		}
 		select {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -53,8 +53,7 @@
 	lim := i.cfg.Site.Limits
 	cfg := proto.Config{Hello: i.hello(), Gate: i.cfg.Hooks.Gate, Handshake: lim.ConnectTimeout,
 		Idle: lim.IdleClose, Silence: lim.Silence}
-	cfg.Limits = proto.Limits{Header: 4 << 10, Payload: int(lim.Payload), Streams: lim.Streams,
-		Backlog: 4*int(lim.Payload) + 1<<20}
+	cfg.Limits = proto.LimitsFor(int(lim.Payload), lim.Streams)
 	return &pool{ctx: ctx, g: g, i: i, cfg: cfg, nodes: map[control.Server]*nodeLink{}}
 }
 
@@ -159,7 +158,6 @@
 	c.mu.Unlock()
 	req := a.req.call.req
 	req.Attempt, req.Wait = uint16(a.n), a.deadline-p.i.now()
-	code := control.ConnectFailed
 	if !ended {
 		err := c.conn.Post(proto.TypeRequest, a.stream, req, a.req.call.payload)
 		if err == nil {
@@ -168,7 +166,7 @@
 		p.i.log.Warn("request not sent", "node", addrText(a.server), "error", err)
 	}
 	if c.take(a.stream) != nil || ended {
-		p.i.in.put(result{att: a, code: code})
+		p.i.in.put(result{att: a, code: control.ConnectFailed})
 	}
 }
 
@@ -304,19 +302,11 @@
 	})
 }
 
-// codeOf turns a node's code into the module's.
+// codeOf is a node's code as the module's; they are the same numbers.
 func codeOf(c proto.Code) (control.Code, error) {
 	switch c {
-	case proto.OK:
-		return control.OK, nil
-	case proto.Error:
-		return control.Error, nil
-	case proto.Full:
-		return control.Full, nil
-	case proto.Dropped:
-		return control.Cancelled, nil
-	case proto.Moot:
-		return control.Moot, nil
+	case proto.OK, proto.Error, proto.Full, proto.Dropped, proto.Moot:
+		return control.Code(c), nil
 	}
 	return 0, fmt.Errorf("code %d is none of a node's", c)
 }
@@ -330,5 +320,3 @@
 	}
 	return "failed"
 }
-
-func statusWord(s control.Status) string { return [...]string{"gone", "ready", "draining"}[s] }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -151,10 +151,13 @@
 }
 
 func (r *Roster) sorted() []Entry {
-	return slices.SortedFunc(maps.Values(r.entries), func(a, b Entry) int {
-		return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]),
-			cmp.Compare(a.Server.Port, b.Server.Port))
-	})
+	return slices.SortedFunc(maps.Values(r.entries), ByServer)
+}
+
+// ByServer orders entries by address and port.
+func ByServer(a, b Entry) int {
+	return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]), cmp.Compare(a.Server.Port,
+		b.Server.Port))
 }
 
 // tell turns entries into the module's form.
