Held requests may leave as one operation, each by its own tag, limit and patience

Merging needs the module's word on who may leave with whom: only it knows tags, limits, turns of keys, slots and what a node takes. The smallest departure: a Company proposes, when a request leaves, which held ones fit its operation; the Host joins them in tag order or ahead of it by no more than one largest request of their volume, where each one's own limit, key turn, cold budget and aim allow, at the slots of the operation's size, and only where it ends no later for any member than alone by the module's reckoning. An operation that fails counts once for its node; members are repeated alone.

--- a/control/api.go
+++ b/control/api.go
@@ -145,8 +145,21 @@
 	Expires time.Duration
 	Volume  uint64
 	Units   float64
+	Further bool // a part of a request whose first part was taken before: for the budget one with it
 }
 
+// Company knows which held requests could be done at their node as one operation. It proposes; each member
+// is decided on by the Host. IDs of requests are not 0 where it is used.
+type Company interface {
+	// Beside is told that a request leaves for the first time. It calls join for each other that fits to
+	// the operation, with the units that the whole operation counts with it on board; join tells whether
+	// it leaves with it. Beside must not call the Host.
+	Beside(id uint32, join func(id uint32, units float64) bool)
+}
+
+// Accompany lets what is held leave with others, as a company proposes; without one each leaves alone.
+func (h *Host) Accompany(c Company) { h.company = c }
+
 // Code tells how an attempt ended.
 type Code uint16
 
@@ -220,6 +233,7 @@
 	ID     uint32
 	Server Server
 	Allow  time.Duration // give up after this; 0: as long as the client waits
+	With   uint32        // a member of the operation that this request leads, sent just before; 0: alone
 }
 
 // Refuse is a final answer: trying again does no harm, best after Backoff.
--- a/control/control.go
+++ b/control/control.go
@@ -1,7 +1,6 @@
 package control
 
 // The interface of this module (settings, events, actions) is control/api.go; this file makes every decision.
-//
 // A Host is one scheduler. It queues requests per shard and lets them leave for the shard's node by
 // SFQ(D)+: in start-tag order, while the slot cost of what is out at the node stays within its depth, with
 // capped backfill. Around that path stand the guards of the seven rules and the defences, each with a note
@@ -56,11 +55,13 @@
 	vol      *volume
 	shard    *shard // where it is queued or was sent
 	seq      uint64
-	start    float64 // start tag
-	advance  float64 // what it moved its volume's finish tag on by
-	covered  float64 // units that it took from the volume's reserve
-	cost     float64 // slots
-	passed   float64 // slots promoted past it by backfill
+	lead     *request // of whose operation it is a member; nil: it is alone or leads
+	load     float64  // units of the operation that it leads
+	start    float64  // start tag
+	advance  float64  // what it moved its volume's finish tag on by
+	covered  float64  // units that it took from the volume's reserve
+	cost     float64  // slots
+	passed   float64  // slots promoted past it by backfill
 	aimBy    time.Duration
 	sentAt   time.Duration
 	ranFrom  time.Duration // send of the first attempt that may have run
@@ -153,37 +154,6 @@
 	nth  int
 }
 
-// line is a queue whose head leaves at no cost a step: what has left is cut off once it is half of all.
-type line[T any] struct {
-	all  []T
-	gone int // of all, no longer in the line
-	cut  int // cut off before that
-}
-
-func (l *line[T]) list() []T { return l.all[l.gone:] }
-
-func (l *line[T]) push(v T) { l.all = append(l.all, v) }
-
-// drop lets the head leave while old says so.
-func (l *line[T]) drop(old func(T) bool) {
-	for l.gone < len(l.all) && old(l.all[l.gone]) {
-		l.gone++
-	}
-	if 2*l.gone > len(l.all) {
-		n := copy(l.all, l.all[l.gone:])
-		clear(l.all[n:])
-		l.all, l.cut, l.gone = l.all[:n], l.cut+l.gone, 0
-	}
-}
-
-// at is the nth that was ever pushed, nil if it has left.
-func (l *line[T]) at(nth int) *T {
-	if nth < l.cut+l.gone {
-		return nil
-	}
-	return &l.all[nth-l.cut]
-}
-
 // node is a storage node's process as this host sees it.
 type node struct {
 	Entry
@@ -249,6 +219,7 @@
 	watchAt  time.Duration // when to ask again if it was not
 	taken    line[time.Duration]
 	extras   line[time.Duration]
+	company  Company
 }
 
 // New starts a host that knows nothing but its settings.
@@ -455,7 +426,7 @@
 // ---- Taking requests ----
 
 func (h *Host) take(q Request) {
-	if h.set.Budget {
+	if h.set.Budget && !q.Further {
 		h.taken.push(h.now)
 		h.taken.drop(h.outsideBudget)
 	}
@@ -479,6 +450,8 @@
 	r.aimBy = min(r.aimBy, q.Expires-sureMargin)
 	r.Units = max(q.Units, 1)
 	r.cost = c.slots(r.Units)
+	c.seen++
+	c.mean += (r.Units - c.mean) / c.seen
 	r.vol.live++
 	h.reqs[q.ID] = r
 	if c.InOrder && q.Key != 0 {
@@ -501,13 +474,10 @@
 
 // slots is the design's slot cost: 1 up to the running mean of the class's sizes, the ratio above it.
 func (c *class) slots(units float64) float64 {
-	cost := 1.0
 	if c.seen > 0 && units > c.mean {
-		cost = min(mostSlots, math.Ceil(units/c.mean))
+		return min(mostSlots, math.Ceil(units/c.mean))
 	}
-	c.seen++
-	c.mean += (units - c.mean) / c.seen
-	return cost
+	return 1
 }
 
 // volumeOf finds a volume. Its limit's store starts empty: a host that was killed may have spent it before,
@@ -683,7 +653,7 @@
 	h.unpin(n)
 	for i := 0; i < len(s.queue) && n != nil && h.usable(n); {
 		r := s.queue[i]
-		if !h.mayGo(r, n) {
+		if !h.mayGo(r, n, nil) {
 			i++
 			continue
 		}
@@ -711,10 +681,47 @@
 			head.passed += r.cost
 		}
 		h.dequeue(r)
-		h.send(r, n)
+		h.send(r, n, nil)
+		if h.company != nil && r.attempts == 1 {
+			h.accompany(r, n)
+			i, _ = slices.BinarySearchFunc(s.queue, r, byTag)
+		}
+		if head != nil && !head.queued {
+			head = nil
+		}
 	}
 }
 
+// accompany lets held requests leave as members of an operation just sent. A member keeps its tag, plan,
+// limit, patience and turn of its key. It joins in tag order, or ahead of it by no more than its volume's
+// largest request: its volume's next tags make that good. The operation costs the slots of its size, and by
+// this module's reckoning ends no later for a member than alone: less than the mean deviation it can't tell.
+func (h *Host) accompany(lead *request, n *node) {
+	s, slots := lead.shard, lead.cost
+	h.company.Beside(lead.ID, func(id uint32, units float64) bool {
+		r := h.reqs[id]
+		if r == nil || !r.queued || r.attempts > 0 || r.shard != s || r.class != lead.class {
+			return false
+		}
+		cost, takes := lead.class.slots(units), h.lately(n)+h.extra(lead.class, units)
+		if (n.used > slots && n.used+cost-slots > h.bound(s, r)) || !h.bears(n, r.Units) ||
+			(r != s.queue[0] && (r.start+r.advance-s.vt)*r.vol.plan.Weight > h.set.MostUnits) ||
+			h.now+takes > min(r.aimBy, lead.aimBy) ||
+			takes > min(h.expect(n, lead), h.expect(n, r))+n.deviation || !h.mayGo(r, n, lead) {
+			return false
+		}
+		if r == s.queue[0] {
+			s.vt = max(s.vt, r.start)
+		}
+		n.used += cost - slots
+		slots, lead.load = cost, units
+		h.dequeue(r)
+		h.send(r, n, lead)
+		return true
+	})
+	lead.cost = slots
+}
+
 // bound is how many slots may be out at the shard's node when a request joins them: the depth, but of many
 // hosts only a part of what all may have there, which falls steeply once the node's latency is over slowFrom
 // of the shortest aim. Of many hosts most are idle at a node at any moment, so it starts high; a jam of all
@@ -765,11 +772,15 @@
 	}
 }
 
-// mayGo holds the guards that concern one request: its key's turn, its class's repeats, its plan's limit.
-func (h *Host) mayGo(r *request, n *node) bool {
+// mayGo holds the guards that concern one request: its key's turn, its class's repeats, its plan's limit. A
+// member of an operation may follow those of its key that are members too.
+func (h *Host) mayGo(r *request, n *node, lead *request) bool {
 	if r.class.InOrder && r.Key != 0 {
-		k := h.keys[r.Key]
-		if k.list[0] != r || (r.attempts == 0 && h.now < k.rest) {
+		k, at := h.keys[r.Key], 0
+		for lead != nil && at < len(k.list) && k.list[at].of(lead) {
+			at++
+		}
+		if at == len(k.list) || k.list[at] != r || (r.attempts == 0 && h.now < k.rest) {
 			return false
 		}
 	}
@@ -889,8 +900,12 @@
 	}
 }
 
-// send starts an attempt. The virtual time moves to the start tag of what leaves.
-func (h *Host) send(r *request, n *node) {
+// of tells whether a request is out as a member of an operation.
+func (r *request) of(lead *request) bool { return r.node != nil && (r == lead || r.lead == lead) }
+
+// send starts an attempt. The virtual time moves to the start tag of what leaves. A member of an operation
+// has no slots of its own.
+func (h *Host) send(r *request, n *node, lead *request) {
 	if h.set.Budget && r.attempts > 0 {
 		h.extras.push(h.now)
 	}
@@ -898,18 +913,23 @@
 		r.charged = true
 		r.vol.limit.level -= r.Units
 	}
-	r.shard.vt = max(r.shard.vt, r.start)
 	r.attempts++
 	h.out++
-	r.node, r.sentAt, r.unpinned = n, h.now, false
-	n.out = append(n.out, r)
-	n.used += r.cost
+	r.node, r.sentAt, r.unpinned, r.lead, r.load = n, h.now, lead != nil, lead, r.Units
+	act := Send{ID: r.ID, Server: n.Server, Allow: h.allow(r)}
+	if lead == nil {
+		r.shard.vt = max(r.shard.vt, r.start)
+		n.out = append(n.out, r)
+		n.used += r.cost
+	} else {
+		act.With = lead.ID
+	}
 	n.lastSent, n.everSent = h.now, true
 	h.forgetSent(n, h.set.FallWindow)
 	r.marks = append(r.marks, markRef{n, n.sent.cut + len(n.sent.all)})
 	n.sent.push(mark{h.now, r.Units})
 	n.sum += r.Units
-	h.act(Send{ID: r.ID, Server: n.Server, Allow: h.allow(r)})
+	h.act(act)
 }
 
 // allow is how long an attempt may take: where a repeat is safe, until the aim, since an answer after that
@@ -1070,19 +1090,20 @@
 	switch {
 	case o.Code == OK || o.Code == Error:
 		n.fails, n.heardAt = 0, h.now
+	case r.lead != nil: // an operation fails once, with its lead
 	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || silent:
 		n.fails++
 		n.retryAt = h.now + h.pause(n, o.Code)
 	}
-	if (o.Code == OK && !h.stalled) || lost {
+	if r.lead == nil && ((o.Code == OK && !h.stalled) || lost) {
 		off := o.Took - n.latency
 		if lost {
 			off = o.Took // it would have taken longer, by about the mean
 		}
 		if o.Code == OK {
-			off -= h.extra(r)
-			r.class.fit.add(r.Units, o.Took.Seconds())
-			h.usual.add(r.Units, o.Took.Seconds())
+			off -= h.extra(r.class, r.load)
+			r.class.fit.add(r.load, o.Took.Seconds())
+			h.usual.add(r.load, o.Took.Seconds())
 		}
 		n.learntAt = h.now
 		n.latency += time.Duration(learnWeight * float64(off))
@@ -1136,15 +1157,15 @@
 // expect is how long a request sent now will take at the node: what it took lately for one of mean size, and
 // what this one's size adds.
 func (h *Host) expect(n *node, r *request) time.Duration {
-	return max(0, h.lately(n)+h.extra(r))
+	return max(0, h.lately(n)+h.extra(r.class, r.Units))
 }
 
 // extra is how much longer than the usual one a request of this class and size takes.
-func (h *Host) extra(r *request) time.Duration {
-	if h.usual.n < fitFrom || r.class.fit.n < fitFrom {
+func (h *Host) extra(c *class, units float64) time.Duration {
+	if h.usual.n < fitFrom || c.fit.n < fitFrom {
 		return 0
 	}
-	return seconds(r.class.fit.predict(r.Units) - h.usual.took)
+	return seconds(c.fit.predict(units) - h.usual.took)
 }
 
 // lately is what the usual request took at the node. What is old of it fades towards that of all nodes: with
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -168,6 +168,8 @@
 	var costs []float64
 	for _, units := range []float64{2, 2, 6, 1, 40} { // running means before each: none, 2, 2, 10/3, 11/4
 		costs = append(costs, c.slots(units))
+		c.seen++
+		c.mean += (units - c.mean) / c.seen
 	}
 	want(t, "slot costs", costs, 1, 1, 3, 1, 4)
 }
