The test of shares with merging leaves backfill out

1,500 cases found one in which a volume was ahead by 20.5 units where the test allowed 20: that was the capped backfill's part, not merging's. With slots of one size there is none; 3,000 cases hold, and the mutant that lets members join however far ahead of their tags is caught at once.

--- a/control/company_test.go
+++ b/control/company_test.go
@@ -167,6 +167,8 @@
 		c := &crowd{most: rapid.IntRange(1, 12).Draw(t, "members"), units: map[uint32]float64{}}
 		h.Accompany(c)
 		n := h.nodes[server(0)]
+		// One slot each: backfill, which lets a volume be ahead by some more, is not what this is about.
+		h.classes[0].seen, h.classes[0].mean = 1e9, set.MostUnits
 		id, volume := uint32(0), map[uint32]int{}
 		held, served, out := make([]int, 3), make([]float64, 3), []uint32{}
 		fill := func() {
