The scheduler cuts and merges ranged requests on its way to the nodes

Requests for bytes of a volume pass the planner: each is cut at extents' edges, the module sees the pieces, held neighbours leave as one operation with a list of its members, and each client gets one answer. A member that times out or leaves ends alone; the node is called off once nobody waits. What a batch already ended is not sent; the rest of its operation then goes one by one, since it may not touch any more. A write that failed in part is logged piece by piece with its node.

--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"landingpaddle/control"
+	"landingpaddle/extent"
 	"landingpaddle/internal/sexpr"
 )
 
@@ -143,6 +144,42 @@
 	Plans     []Plan        `s:"plan"`
 	Rules     Rules         `s:"rules"`
 	Limits    Limits        `s:"limits"`
+	Extents   *Extents      `s:"extents"`
+}
+
+// Extents are how volumes' bytes lie on nodes, and what is made one operation.
+type Extents struct {
+	Size    sexpr.Size    `s:"size,required" min:"1B" max:"1GiB"`
+	Largest sexpr.Size    `s:"largest" min:"0B" max:"1GiB"`
+	Members int           `s:"members" min:"0" max:"64"`
+	Window  time.Duration `s:"window" min:"0s" max:"1m"`
+	Pieces  int           `s:"pieces" min:"0" max:"1024"`
+	Cells   int           `s:"cells,required" min:"1" max:"65535"`
+	Alone   bool          `s:"alone"` // nothing is merged
+}
+
+// Check fills what was not given.
+func (e *Extents) Check() error {
+	if e.Largest == 0 {
+		e.Largest = e.Size
+	}
+	if e.Members == 0 {
+		e.Members = 16
+	}
+	if e.Pieces == 0 {
+		e.Pieces = 64
+	}
+	return e.Planner().Check()
+}
+
+// Planner turns them into the planner's settings.
+func (e *Extents) Planner() extent.Settings {
+	s := extent.Settings{Extent: uint64(e.Size), Largest: uint64(e.Largest), Members: e.Members,
+		Window: e.Window, Pieces: e.Pieces, Cells: e.Cells}
+	if e.Alone {
+		s.Members = 1
+	}
+	return s
 }
 
 // DefaultSite is a site before its file is read.
@@ -188,6 +225,10 @@
 			p.Worth = 1
 		}
 	}
+	if e := s.Extents; e != nil && e.Largest > s.Limits.Payload {
+		return fmt.Errorf("an operation of %d bytes is over the payload limit of %d", e.Largest,
+			s.Limits.Payload)
+	}
 	r := s.Rules
 	if r.Ramp > 0 && (r.ColdUnits <= 0 || r.FallWindow <= 0 || r.FallMultiple <= 1) {
 		return fmt.Errorf("nodes that start cold (ramp %v) need cold-units, fall-window, fall-multiple",
--- a/internal/proto/messages.go
+++ b/internal/proto/messages.go
@@ -31,9 +31,37 @@
 	Attempt uint16        `cbor:"10,keyasint,omitempty"`
 	Writers uint16        `cbor:"11,keyasint,omitempty"` // instances that the volume's requests come through
 	Write   bool          `cbor:"12,keyasint,omitempty"`
-	Offset  uint64        `cbor:"13,keyasint,omitempty"` // bytes
-	Length  uint32        `cbor:"14,keyasint,omitempty"` // bytes; of a read
+	Offset  uint64        `cbor:"13,keyasint,omitempty"` // bytes; of a ranged request
+	Length  uint32        `cbor:"14,keyasint,omitempty"` // bytes
 	Client  uint32        `cbor:"15,keyasint,omitempty"`
+	Ranged  bool          `cbor:"16,keyasint,omitempty"` // it is for bytes of Data; Cell follows from them
+	Data    uint64        `cbor:"17,keyasint,omitempty"` // the volume whose bytes are meant; 0: Volume
+	Piece   uint16        `cbor:"18,keyasint,omitempty"` // to a node: which piece of the client's request
+	Members []Member      `cbor:"19,keyasint,omitempty"` // to a node: of an operation of several; lead first
+	Odd     uint32        `cbor:"20,keyasint,omitempty"` // laboratories: it takes so many times its work
+}
+
+// Of is the volume whose bytes a ranged request is for.
+func (r *Request) Of() uint64 {
+	if r.Data != 0 {
+		return r.Data
+	}
+	return r.Volume
+}
+
+// Member is one piece of an operation that several requests share; what is not here is the operation's.
+type Member struct {
+	_      struct{} `cbor:",toarray"`
+	Token  uint64
+	Volume uint64 // that is charged
+	Key    uint64
+	Plan   uint16
+	Units  uint32
+	Offset uint32 // bytes, from the operation's first on
+	Length uint32
+	Piece  uint16
+	Try    uint16
+	Client uint32
 }
 
 // Code is how a request ended. Below 400 they are a node's, and those of control.Code; from 400 on an
@@ -62,6 +90,20 @@
 	Advice    time.Duration `cbor:"5,keyasint,omitempty"` // stay away for so long
 	Reason    string        `cbor:"6,keyasint,omitempty"` // one word
 	Cell      int32         `cbor:"7,keyasint,omitempty"` // 1 + where a new object was put
+	// Of an operation that was served but for some of its bytes: those, from its first byte on.
+	Bad []Bad `cbor:"8,keyasint,omitempty"`
+	// Of a ranged request that was not served: how many of its pieces are done, may run or have run, and
+	// were never sent.
+	Done   uint16 `cbor:"9,keyasint,omitempty"`
+	Unsure uint16 `cbor:"10,keyasint,omitempty"`
+	Unsent uint16 `cbor:"11,keyasint,omitempty"`
+}
+
+// Bad is a range of bytes that a node could not serve.
+type Bad struct {
+	_      struct{} `cbor:",toarray"`
+	Offset uint64
+	Length uint64
 }
 
 // Bye says why a connection is closed.
--- a/internal/proto/proto_test.go
+++ b/internal/proto/proto_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,8 @@
 
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	"landingpaddle/extent"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -33,7 +36,12 @@
 		q := Request{Token: rapid.Uint64().Draw(t, "token"), Class: rapid.Uint16().Draw(t, "class"),
 			Key: rapid.Uint64().Draw(t, "key"), Units: rapid.Uint32().Draw(t, "units"),
 			Cell: rapid.Int32().Draw(t, "cell"), Write: rapid.Bool().Draw(t, "write"),
-			Wait: time.Duration(rapid.Int64().Draw(t, "wait"))}
+			Wait:   time.Duration(rapid.Int64().Draw(t, "wait")),
+			Ranged: rapid.Bool().Draw(t, "ranged"), Data: rapid.Uint64().Draw(t, "data")}
+		for range rapid.IntRange(0, 3).Draw(t, "members") {
+			q.Members = append(q.Members, Member{Token: rapid.Uint64().Draw(t, "of"),
+				Offset: rapid.Uint32().Draw(t, "at"), Try: rapid.Uint16().Draw(t, "try")})
+		}
 		payload := rapid.SliceOf(rapid.Byte()).Draw(t, "payload")
 		var b bytes.Buffer
 		stream := rapid.Uint64().Draw(t, "stream")
@@ -48,12 +56,30 @@
 		if err := f.Decode(&got); err != nil {
 			t.Fatal(err)
 		}
-		if got != q || f.Stream != stream || !bytes.Equal(f.Payload, payload) {
+		if !reflect.DeepEqual(got, q) || f.Stream != stream || !bytes.Equal(f.Payload, payload) {
 			t.Fatalf("got %+v, want %+v", got, q)
 		}
 	})
 }
 
+// The most members that an operation may have fit a header, with whatever numbers they carry.
+func TestMostMembersFitAHeader(t *testing.T) {
+	const most = 1<<64 - 1
+	q := Request{Token: most, Class: 1<<16 - 1, Plan: 1<<16 - 1, Volume: most, Key: most, Units: 1<<32 - 1,
+		Cell: 1<<31 - 1, Wait: 1<<63 - 1, Try: 1<<16 - 1, Writers: 1<<16 - 1, Write: true, Offset: most,
+		Length: 1<<32 - 1, Client: 1<<32 - 1, Ranged: true, Data: most, Piece: 1<<16 - 1}
+	for range extent.MostMembers {
+		q.Members = append(q.Members, Member{Token: most, Volume: most, Key: most, Plan: 1<<16 - 1,
+			Units: 1<<32 - 1, Offset: 1<<32 - 1, Length: 1<<32 - 1, Piece: 1<<16 - 1, Try: 1<<16 - 1,
+			Client: 1<<32 - 1})
+	}
+	var b bytes.Buffer
+	if err := appendFrame(&b, TypeRequest, 1, q, nil, DefaultLimits); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d bytes of %d", b.Len()-fixed, DefaultLimits.Header)
+}
+
 // A frame that is cut anywhere, changed anywhere or over a limit is one clear error.
 func TestBadFrames(t *testing.T) {
 	good := frameBytes(t, TypeRequest, 7, Request{Token: 1, Units: 2}, []byte("payload"))
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -19,6 +19,12 @@
 	req     proto.Request
 	payload []byte
 	at      time.Duration // when it was read
+
+	// The rest is the loop's.
+	id      uint64     // of a ranged request, by which the planner knows it; 0: another
+	reqs    []*request // one, or those of its pieces
+	overdue *timer
+	done    bool // has its answer
 }
 
 // client is one client's connection.
@@ -128,7 +134,7 @@
 		f.i.log.Debug("refused", "reason", reason, "token", k.req.Token)
 		return c.conn.Post(proto.TypeAnswer, fr.Stream, a, nil)
 	}
-	if why := f.bad(&k.req); why != "" {
+	if why := f.bad(&k.req, len(k.payload)); why != "" {
 		return refuse(why, 0)
 	}
 	// Counted first, then looked whether the instance stops: the loop ends only when it sees none counted.
@@ -149,14 +155,25 @@
 	return nil
 }
 
-// bad bounds what a client states; "" is good.
-func (f *front) bad(q *proto.Request) string {
+// bad bounds what a client states; "" is good. How a range is cut, and whether that goes, the planner says.
+func (f *front) bad(q *proto.Request, payload int) string {
 	site := &f.i.cfg.Site
 	if int(q.Class) >= len(site.Classes) || int(q.Plan) >= len(site.Plans) || q.Units == 0 ||
 		float64(q.Units) > site.MostUnits || q.Wait <= 0 || q.Wait > time.Hour ||
 		q.Cell < control.NewObject || q.Cell > 1<<16-1 {
 		return ReasonBad
 	}
+	if !q.Ranged {
+		return ""
+	}
+	if site.Extents == nil {
+		return ReasonBad
+	}
+	write := q.Write || site.Classes[q.Class].Writes
+	if uint64(q.Length) > uint64(site.Limits.Payload) || write && payload != int(q.Length) ||
+		!write && payload != 0 {
+		return ReasonRange
+	}
 	return ""
 }
 
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"landingpaddle/control"
+	"landingpaddle/extent"
 	"landingpaddle/internal/proto"
 	"landingpaddle/roster"
 )
@@ -21,64 +23,74 @@
 		boot   int64
 	}
 	greeted notice   // a node's greeting told of this start
-	result  struct { // an attempt ended
-		att     *attempt
+	result  struct { // an operation ended
+		op      *operation
 		code    control.Code
 		answer  proto.Answer
 		payload []byte
 	}
-	begun struct{ att *attempt } // a streamed answer has begun
+	begun struct{ op *operation } // a streamed answer has begun
 )
 
-// request is a call that the module knows, until it is answered and no attempt of it is out.
+// request is what the module knows as one: a call, or a piece of a ranged call, until it has its end and no
+// attempt of it is out.
 type request struct {
 	call    *call
+	piece   extent.Piece // of a ranged call
+	cell    int          // where it lies
 	id      uint32
 	expires time.Duration
 	sends   int
 	out     []*attempt
-	overdue *timer
 	done    bool
-	why     string // reason word of the last attempt's end
+	served  bool
+	server  control.Server // of the last attempt
+	why     string         // reason word of the last attempt's end
 }
 
-// attempt is one send.
+// attempt is one send of one request.
 type attempt struct {
 	req      *request
+	op       *operation
 	n        int
 	server   control.Server
 	at       time.Duration
 	deadline time.Duration
-	conn     *nodeConn // where it is in flight; nil: waits for a connection
-	stream   uint64
 	over     bool
 	timeout  *timer
 }
 
 // loop owns the module and all state of requests. It never blocks on a socket.
 type loop struct {
-	i      *Instance
-	host   Decider
-	view   *roster.Roster
-	pool   *pool
-	timers timers
-	nextID uint32
-	reqs   map[uint32]*request
-	byCall map[*call]*request
-	now    time.Duration // of this batch
-	fresh  bool          // the module was told of something
-	spare  []any
-	last   time.Duration // end of the last batch
+	i       *Instance
+	host    Decider
+	plan    *extent.Planner // nil: no ranged requests
+	view    *roster.Roster
+	pool    *pool
+	timers  timers
+	nextID  uint32
+	wholes  uint64
+	reqs    map[uint32]*request
+	leaving []*operation  // of this batch
+	now     time.Duration // of this batch
+	fresh   bool          // the module was told of something
+	spare   []any
+	last    time.Duration // end of the last batch
 }
 
 func newLoop(ctx context.Context, g *errgroup.Group, i *Instance) *loop {
 	set := i.cfg.Site.Control(i.cfg.Number, i.cfg.Of, i.cfg.Zone, i.link != nil)
-	var host Decider = control.New(i.cfg.Seed, set)
+	module := control.New(i.cfg.Seed, set)
+	l := &loop{i: i, host: module, view: roster.New(i.cfg.Site.Limits.ClockSkew), pool: newPool(ctx, g, i),
+		reqs: map[uint32]*request{}}
+	if e := i.cfg.Site.Extents; e != nil {
+		l.plan = extent.New(e.Planner())
+		module.Accompany(l.plan)
+	}
 	if wrap := i.cfg.Hooks.Decider; wrap != nil {
-		host = wrap(set, host)
+		l.host = wrap(set, module)
 	}
-	return &loop{i: i, host: host, view: roster.New(i.cfg.Site.Limits.ClockSkew), pool: newPool(ctx, g, i),
-		reqs: map[uint32]*request{}, byCall: map[*call]*request{}}
+	return l
 }
 
 // run gathers what happens into batches until the instance has stopped in order or ctx ends.
@@ -148,6 +160,7 @@
 		// wants done about that must not wait for the next thing to happen.
 		l.i.in.ring()
 	}
+	l.count()
 	l.last = l.i.now()
 }
 
@@ -162,6 +175,7 @@
 	for _, a := range l.host.Decide(l.now) {
 		l.act(a)
 	}
+	l.depart()
 }
 
 func (l *loop) item(item any) {
@@ -171,11 +185,12 @@
 	case departed:
 		l.left(x.call)
 	case result:
-		l.ended(x)
+		l.opEnded(x)
 	case begun:
-		if !x.att.over {
-			l.tell(control.First{ID: x.att.req.id, Attempt: x.att.n, Server: x.att.server,
-				Took: l.now - x.att.at})
+		for _, a := range x.op.members {
+			if !a.over {
+				l.tell(control.First{ID: a.req.id, Attempt: a.n, Server: a.server, Took: l.now - a.at})
+			}
 		}
 	case roster.News:
 		l.news(x)
@@ -226,56 +241,110 @@
 	}
 }
 
-func (l *loop) take(k *call) {
+// id hands out a number by which the module knows a request.
+func (l *loop) id() uint32 {
 	for {
 		l.nextID++
-		if _, used := l.reqs[l.nextID]; !used {
-			break
+		if _, used := l.reqs[l.nextID]; !used && l.nextID != 0 {
+			return l.nextID
 		}
 	}
+}
+
+func (l *loop) take(k *call) {
 	q := &k.req
-	r := &request{call: k, id: l.nextID, expires: k.at + q.Wait - l.i.cfg.Site.Limits.Transit}
-	l.reqs[r.id], l.byCall[k] = r, r
+	expires := k.at + q.Wait - l.i.cfg.Site.Limits.Transit
+	k.overdue = l.timers.set(expires+l.i.cfg.Site.Rules.AnswerSlack, func() { l.overdue(k) })
 	class := l.i.cfg.Site.Classes[q.Class]
-	r.overdue = l.timers.set(r.expires+l.i.cfg.Site.Rules.AnswerSlack, func() { l.overdue(r) })
-	l.tell(control.Request{ID: r.id, Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0,
+	ask := control.Request{Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0,
 		Write: q.Write || class.Writes, Writers: int(q.Writers), Plan: int(q.Plan), Key: q.Key,
-		Expires: r.expires, Volume: q.Volume, Units: float64(q.Units)})
+		Expires: expires, Volume: q.Volume, Units: float64(q.Units)}
+	if !q.Ranged {
+		r := &request{call: k, id: l.id(), expires: expires}
+		l.reqs[r.id], k.reqs = r, []*request{r}
+		ask.ID = r.id
+		l.tell(ask)
+		return
+	}
+	l.wholes++
+	repeat := control.Repeat(class.Repeat)
+	pieces, err := l.plan.Take(extent.Request{ID: l.wholes, Data: q.Of(),
+		Range: extent.Range{Offset: q.Offset, Length: uint64(q.Length)}, Write: ask.Write, Class: ask.Class,
+		Plan: ask.Plan, Units: int(q.Units), At: k.at, Harmless: repeat == control.Safe ||
+			repeat == control.Keyed && control.Group(class.Group) == control.GroupAll}, l.id)
+	if err != nil {
+		l.i.log.Debug("range refused", "token", q.Token, "error", err)
+		l.finish(k, proto.Answer{Code: proto.Refused, Reason: ReasonRange}, nil)
+		return
+	}
+	k.id = l.wholes
+	set := l.i.cfg.Site.Extents.Planner()
+	for n, p := range pieces {
+		r := &request{call: k, piece: p, cell: set.Cell(q.Of(), p.Extent), id: p.ID, expires: expires}
+		l.reqs[r.id], k.reqs = r, append(k.reqs, r)
+		ask.ID, ask.Cell, ask.Units, ask.Further = p.ID, r.cell, float64(p.Units), n > 0
+		l.tell(ask)
+	}
 }
 
-// overdue is the net under the module: a request that it has not answered when its time is up is answered
+// overdue is the net under the module: a call that it has not answered when its time is up is answered
 // here, and logged as the fault that it is.
-func (l *loop) overdue(r *request) {
-	if r.done {
+func (l *loop) overdue(k *call) {
+	if k.done {
 		return
 	}
 	l.i.Stats.Overdue.Add(1)
-	l.i.log.Error("overdue", "token", r.call.req.Token, "attempts", r.sends, "held", l.now-r.call.at)
-	l.finish(r, proto.Answer{Code: proto.Failed, Reason: ReasonOverdue}, nil)
-	l.tell(control.Left{ID: r.id})
-	l.settle(r)
+	sends := 0
+	for _, r := range k.reqs {
+		sends += r.sends
+	}
+	l.i.log.Error("overdue", "token", k.req.Token, "attempts", sends, "held", l.now-k.at)
+	l.drop(k, ReasonOverdue)
 }
 
 // left ends a call whose client is gone or wants no answer any more.
 func (l *loop) left(k *call) {
-	r := l.byCall[k]
-	if r == nil || r.done {
+	if k.done || k.reqs == nil {
 		return
 	}
 	l.i.Stats.Left.Add(1)
-	l.finish(r, proto.Answer{Code: proto.Failed, Reason: ReasonLeft}, nil)
-	l.tell(control.Left{ID: r.id})
-	l.settle(r)
+	l.drop(k, ReasonLeft)
 }
 
-// finish gives the one final answer.
-func (l *loop) finish(r *request, a proto.Answer, payload []byte) {
-	if r.done {
+// drop answers a call as failed and lets the module know that nothing is owed for it any more.
+func (l *loop) drop(k *call, reason string) {
+	a := proto.Answer{Code: proto.Failed, Reason: reason}
+	var withdraw []uint32
+	if k.id != 0 {
+		var ends *extent.Answer
+		if ends, withdraw = l.plan.Drop(k.id); ends != nil {
+			a.Done, a.Unsure, a.Unsent = uint16(ends.Done), uint16(ends.Unsure), uint16(ends.Unsent)
+		}
+	} else {
+		withdraw = []uint32{k.reqs[0].id}
+	}
+	l.finish(k, a, nil)
+	l.withdraw(withdraw)
+}
+
+// withdraw tells the module that nothing is owed for requests any more.
+func (l *loop) withdraw(ids []uint32) {
+	for _, id := range ids {
+		if r := l.reqs[id]; r != nil {
+			r.done = true
+			l.tell(control.Left{ID: id})
+			l.settle(r)
+		}
+	}
+}
+
+// finish gives a call its one final answer.
+func (l *loop) finish(k *call, a proto.Answer, payload []byte) {
+	if k.done {
 		return
 	}
-	r.done = true
-	l.timers.cancel(r.overdue)
-	delete(l.byCall, r.call)
+	k.done = true
+	l.timers.cancel(k.overdue)
 	switch a.Code {
 	case proto.OK:
 		l.i.Stats.Served.Add(1)
@@ -285,49 +354,148 @@
 		l.i.Stats.Failed.Add(1)
 	}
 	if a.Code != proto.OK {
-		l.i.log.Debug(codeWord(a.Code), "reason", a.Reason, "token", r.call.req.Token, "attempts", r.sends,
-			"advice", a.Advice)
+		l.i.log.Debug(codeWord(a.Code), "reason", a.Reason, "token", k.req.Token, "advice", a.Advice)
+		if a.Done > 0 {
+			l.partial(k)
+		}
+	}
+	l.i.front.answer(k, a, payload)
+	k.payload = nil
+}
+
+// partial logs what of a failed write is where: nobody else can tell.
+func (l *loop) partial(k *call) {
+	if !k.req.Write && !l.i.cfg.Site.Classes[k.req.Class].Writes {
+		return
+	}
+	for _, r := range k.reqs {
+		state := "unsent"
+		switch {
+		case r.served:
+			state = "done"
+		case r.sends > 0:
+			state = "unsure"
+		}
+		at := r.piece.Range
+		l.i.log.Warn("write in part", "token", k.req.Token, "data", k.req.Of(), "offset", at.Offset,
+			"length", at.Length, "state", state, "node", addrText(r.server), "last", r.why)
+	}
+}
+
+// over takes in how a request ended by the module's word, or by being served.
+func (l *loop) over(r *request, a proto.Answer, payload []byte) {
+	if r.done {
+		return
+	}
+	r.done, r.served = true, a.Code == proto.OK
+	k := r.call
+	if k.id == 0 {
+		l.finish(k, a, payload)
+		return
+	}
+	verdict := extent.Failed
+	switch a.Code {
+	case proto.OK:
+		verdict = extent.Served
+	case proto.Refused:
+		verdict = extent.Refused
 	}
-	l.i.front.answer(r.call, a, payload)
-	r.call.payload = nil
+	ends, withdraw := l.plan.Over(r.id, verdict, payload)
+	if ends != nil {
+		a.Done, a.Unsure, a.Unsent = uint16(ends.Done), uint16(ends.Unsure), uint16(ends.Unsent)
+		a.Bad = nil
+		if ends.Verdict == extent.Failed {
+			a.Code, a.Advice = proto.Failed, 0
+		}
+		payload = nil
+		if len(ends.Data) == 1 {
+			payload = ends.Data[0]
+		} else if ends.Verdict == extent.Served {
+			payload = slices.Concat(ends.Data...)
+			l.i.Stats.Copied.Add(uint64(len(payload)))
+		}
+		l.finish(k, a, payload)
+	}
+	l.withdraw(withdraw)
 }
 
-// settle forgets a request that has its answer and no attempt out.
+// settle forgets a request that has its end and no attempt out.
 func (l *loop) settle(r *request) {
 	if r.done && len(r.out) == 0 {
 		delete(l.reqs, r.id)
+		if r.call.id != 0 {
+			l.plan.Forget(r.id)
+		}
 	}
 }
 
-// ended takes in how an attempt ended. The first that was served reaches the client at once.
-func (l *loop) ended(x result) {
-	a, r := x.att, x.att.req
+// opEnded takes in how an operation ended: each member has its own part of that.
+func (l *loop) opEnded(x result) {
+	var parts []extent.Part
+	if x.code == control.OK && x.op.ranged() {
+		var bad []extent.Range
+		for _, b := range x.answer.Bad {
+			bad = append(bad, extent.Range{Offset: b.Offset, Length: b.Length})
+		}
+		parts = x.op.plan.Deal(bad, x.payload)
+	}
+	for n, a := range x.op.members {
+		code, payload := x.code, x.payload
+		if parts != nil {
+			payload = parts[n].Data
+			if !parts[n].OK {
+				code = control.Error
+			}
+		}
+		l.ended(a, code, x.answer, payload, n == 0)
+	}
+}
+
+// ended takes in how an attempt ended. The first that was served reaches the client at once. What a node
+// tells of volumes concerns that of the operation's lead.
+func (l *loop) ended(a *attempt, code control.Code, answer proto.Answer, payload []byte, lead bool) {
 	if a.over {
 		l.i.Stats.Late.Add(1)
 		return // its time-out came first, and was its one outcome
 	}
 	a.over = true
 	l.timers.cancel(a.timeout)
+	r := a.req
 	r.out = slices.DeleteFunc(r.out, func(o *attempt) bool { return o == a })
-	r.why = reasonOf(x.code)
-	if x.code == control.OK {
-		answer := x.answer
+	r.why = reasonOf(code)
+	if k := r.call; k.id != 0 {
+		ran := code != control.Full && code != control.ConnectFailed && code != control.Moot
+		l.plan.Ended(r.id, ran)
+		if k.done && ran && (k.req.Write || l.i.cfg.Site.Classes[k.req.Class].Writes) {
+			at := r.piece.Range
+			l.i.log.Info("piece of an answered write ended", "token", k.req.Token, "data", k.req.Of(),
+				"offset", at.Offset, "length", at.Length, "node", addrText(a.server), "code", code)
+		}
+	}
+	out := control.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Code: code, Took: l.now - a.at,
+		Load: answer.Load}
+	if lead {
+		out.Metered, out.Elsewhere = int(answer.Metered), float64(answer.Elsewhere)
+	}
+	if code == control.OK {
 		answer.Code, answer.Metered, answer.Elsewhere, answer.Load = proto.OK, 0, 0, nil
-		l.finish(r, answer, x.payload)
+		l.over(r, answer, payload)
 	}
-	l.tell(control.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Code: x.code, Took: l.now - a.at,
-		Ended: r.done, Metered: int(x.answer.Metered), Elsewhere: float64(x.answer.Elsewhere),
-		Load: x.answer.Load})
+	out.Ended = r.done
+	l.tell(out)
 	l.settle(r)
 }
 
-// giveUp ends an attempt on this side: its time is up or it was called off.
+// giveUp ends an attempt on this side: its time is up or it was called off. An operation is called off at
+// its node once no member waits for it.
 func (l *loop) giveUp(a *attempt, code control.Code) {
 	if a.over {
 		return
 	}
-	l.pool.cancel(a)
-	l.ended(result{att: a, code: code})
+	l.ended(a, code, proto.Answer{}, nil, false)
+	if !slices.ContainsFunc(a.op.members, func(o *attempt) bool { return !o.over }) {
+		l.pool.cancel(a.op)
+	}
 }
 
 func (l *loop) act(action control.Action) {
@@ -336,12 +504,12 @@
 		l.send(x)
 	case control.Refuse:
 		if r := l.reqs[x.ID]; r != nil {
-			l.finish(r, proto.Answer{Code: proto.Refused, Reason: r.reason(), Advice: x.Backoff}, nil)
+			l.over(r, proto.Answer{Code: proto.Refused, Reason: r.reason(), Advice: x.Backoff}, nil)
 			l.settle(r)
 		}
 	case control.Fail:
 		if r := l.reqs[x.ID]; r != nil {
-			l.finish(r, proto.Answer{Code: proto.Failed, Reason: r.reason()}, nil)
+			l.over(r, proto.Answer{Code: proto.Failed, Reason: r.reason()}, nil)
 			l.settle(r)
 		}
 	case control.Cancel:
@@ -380,7 +548,8 @@
 	return ReasonHeld
 }
 
-// send starts an attempt, for as long as it may take and never longer than the client waits.
+// send starts an attempt, for as long as it may take and never longer than the client waits. What leaves
+// with it as one operation follows at once, by With; depart then hands them to the pool.
 func (l *loop) send(x control.Send) {
 	r := l.reqs[x.ID]
 	if r == nil {
@@ -388,23 +557,84 @@
 	}
 	a := &attempt{req: r, n: r.sends, server: x.Server, at: l.now, deadline: r.expires}
 	r.sends++
+	r.server = x.Server
 	r.out = append(r.out, a)
+	if r.call.id != 0 {
+		l.plan.Sent(r.id)
+	}
 	if x.Allow > 0 {
 		a.deadline = min(a.deadline, l.now+x.Allow)
 	}
-	if r.done || a.deadline <= l.now {
-		l.i.Stats.Moot.Add(1)
-		l.i.in.put(result{att: a, code: control.Moot})
-		return
+	if n := len(l.leaving); x.With != 0 && n > 0 && l.leaving[n-1].members[0].req.id == x.With {
+		a.op = l.leaving[n-1]
+		a.op.members = append(a.op.members, a)
+	} else {
+		a.op = &operation{server: x.Server, members: []*attempt{a}}
+		l.leaving = append(l.leaving, a.op)
 	}
-	l.i.Stats.Sends.Add(1)
 	a.timeout = l.timers.set(a.deadline, func() { l.giveUp(a, control.TimedOut) })
-	l.pool.send(a)
+}
+
+// depart hands this batch's operations to the pool.
+func (l *loop) depart() {
+	leaving := l.leaving
+	l.leaving = nil
+	for _, op := range leaving {
+		for _, live := range l.live(op) {
+			l.i.Stats.Sends.Add(uint64(len(live.members)))
+			l.pool.send(live)
+		}
+	}
+	clear(leaving)
+	l.leaving = leaving[:0]
+}
+
+// live is what of an operation is still to be sent: nothing is sent for a request that has its end or whose
+// time is up. Where members have dropped out, the others may not touch any more, so each goes alone.
+func (l *loop) live(op *operation) []*operation {
+	var keep []*attempt
+	for _, a := range op.members {
+		switch {
+		case a.over:
+		case a.req.done || a.deadline <= l.now:
+			l.i.Stats.Moot.Add(1)
+			l.i.in.put(result{op: &operation{server: op.server, members: []*attempt{a}}, code: control.Moot})
+		default:
+			keep = append(keep, a)
+		}
+	}
+	if len(keep) == len(op.members) {
+		op.seal(l)
+		return []*operation{op}
+	}
+	var out []*operation
+	for _, a := range keep {
+		a.op = &operation{server: op.server, members: []*attempt{a}}
+		a.op.seal(l)
+		out = append(out, a.op)
+	}
+	return out
 }
 
 // abandon answers all that is held when the time to stop in is over.
 func (l *loop) abandon() {
 	for _, r := range l.reqs {
-		l.finish(r, proto.Answer{Code: proto.Failed, Reason: ReasonStopping}, nil)
+		l.finish(r.call, proto.Answer{Code: proto.Failed, Reason: ReasonStopping}, nil)
+	}
+}
+
+// count shows the planner's figures to readers of Stats.
+func (l *loop) count() {
+	if l.plan == nil {
+		return
+	}
+	s, to := l.plan.Stats, &l.i.Stats
+	for _, c := range []struct {
+		to   *atomic.Uint64
+		from uint64
+	}{{&to.Split, s.Split}, {&to.Pieces, s.Pieces}, {&to.Operations, s.Operations}, {&to.Merged, s.Merged},
+		{&to.Members, s.Members}, {&to.Saved, s.Saved}, {&to.Withdrawn, s.Withdrawn},
+		{&to.Partial, s.Partial}} {
+		c.to.Store(c.from)
 	}
 }
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -26,7 +26,7 @@
 	server  control.Server
 	conns   []*nodeConn
 	dialing int
-	waiting []*attempt
+	waiting []*operation
 }
 
 // nodeConn is one connection to a node.
@@ -35,7 +35,7 @@
 	conn   *proto.Conn
 
 	mu    sync.Mutex
-	atts  map[uint64]*attempt
+	ops   map[uint64]*operation
 	next  uint64
 	ended bool
 }
@@ -68,10 +68,10 @@
 	return n
 }
 
-// send puts an attempt on the connection with the least in flight, or lets it wait for one that is being
+// send puts an operation on the connection with the least in flight, or lets it wait for one that is being
 // made. Where all that may be made are full, the node is out of reach for it.
-func (p *pool) send(a *attempt) {
-	n := p.link(a.server)
+func (p *pool) send(op *operation) {
+	n := p.link(op.server)
 	var best *nodeConn
 	for _, c := range n.conns {
 		if f := c.conn.InFlight(); f < c.conn.Streams() && (best == nil || f < best.conn.InFlight()) {
@@ -79,18 +79,18 @@
 		}
 	}
 	if best != nil {
-		p.post(best, a)
+		p.post(best, op)
 		return
 	}
 	lim := p.i.cfg.Site.Limits
 	if len(n.waiting) >= n.dialing*lim.Streams {
 		if len(n.conns)+n.dialing >= lim.NodeConns {
-			p.i.in.put(result{att: a, code: control.ConnectFailed})
+			p.i.in.put(result{op: op, code: control.ConnectFailed})
 			return
 		}
 		p.dial(n)
 	}
-	n.waiting = append(n.waiting, a)
+	n.waiting = append(n.waiting, op)
 }
 
 func (p *pool) dial(n *nodeLink) {
@@ -104,7 +104,7 @@
 			p.i.in.put(dialed{server: server, err: err})
 			return nil
 		}
-		c := &nodeConn{server: server, conn: conn, atts: map[uint64]*attempt{}}
+		c := &nodeConn{server: server, conn: conn, ops: map[uint64]*operation{}}
 		p.i.in.put(greeted{server, conn.Their().Boot})
 		p.i.in.put(dialed{server: server, conn: c})
 		err = conn.Run(p.ctx, func(f proto.Frame) error { return p.frame(c, f) })
@@ -123,10 +123,8 @@
 		if n.dialing > 0 {
 			return
 		}
-		for _, a := range n.waiting {
-			if !a.over {
-				l.ended(result{att: a, code: control.ConnectFailed})
-			}
+		for _, op := range n.waiting {
+			l.opEnded(result{op: op, code: control.ConnectFailed})
 		}
 		n.waiting = nil
 		p.forget(n)
@@ -135,59 +133,55 @@
 	n.conns = append(n.conns, x.conn)
 	waiting := n.waiting
 	n.waiting = nil
-	for _, a := range waiting {
-		switch {
-		case a.over:
-		case a.req.done: // nothing is sent for a request that has its answer
-			l.ended(result{att: a, code: control.Moot})
-		default:
-			p.send(a)
+	for _, op := range waiting {
+		for _, live := range l.live(op) {
+			p.send(live)
 		}
 	}
 }
 
-// post writes an attempt's request. What cannot be queued has surely not run.
-func (p *pool) post(c *nodeConn, a *attempt) {
+// post writes an operation's request. What cannot be queued has surely not run.
+func (p *pool) post(c *nodeConn, op *operation) {
 	c.mu.Lock()
 	c.next++
-	a.conn, a.stream = c, c.next
-	ended := c.ended || c.conn.Open(a.stream) != nil
+	op.conn, op.stream = c, c.next
+	ended := c.ended || c.conn.Open(op.stream) != nil
 	if !ended {
-		c.atts[a.stream] = a
+		c.ops[op.stream] = op
 	}
 	c.mu.Unlock()
-	req := a.req.call.req
-	req.Attempt, req.Wait = uint16(a.n), a.deadline-p.i.now()
 	if !ended {
-		err := c.conn.Post(proto.TypeRequest, a.stream, req, a.req.call.payload)
+		req, payload, copied := op.frame(p.i.now())
+		p.i.Stats.Copied.Add(uint64(copied))
+		err := c.conn.Post(proto.TypeRequest, op.stream, req, payload)
 		if err == nil {
 			return
 		}
-		p.i.log.Warn("request not sent", "node", addrText(a.server), "error", err)
-		c.conn.Done(a.stream) // no answer will come that would end it
+		p.i.log.Warn("request not sent", "node", addrText(op.server), "error", err)
+		c.conn.Done(op.stream) // no answer will come that would end it
 	}
-	if c.take(a.stream) != nil || ended {
-		p.i.in.put(result{att: a, code: control.ConnectFailed})
+	if c.take(op.stream) != nil || ended {
+		p.i.in.put(result{op: op, code: control.ConnectFailed})
 	}
 }
 
-// take removes an attempt from those in flight; nil if it is not there any more.
-func (c *nodeConn) take(stream uint64) *attempt {
+// take removes an operation from those in flight; nil if it is not there any more.
+func (c *nodeConn) take(stream uint64) *operation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := c.atts[stream]
-	delete(c.atts, stream)
-	return a
+	op := c.ops[stream]
+	delete(c.ops, stream)
+	return op
 }
 
 // cancel tells the node that an answer is no longer wanted. The stream stays in flight until the node ends
 // it, so that a node that answers nothing does not get more than was agreed.
-func (p *pool) cancel(a *attempt) {
-	if a.conn == nil {
+func (p *pool) cancel(op *operation) {
+	if op.conn == nil {
 		return
 	}
-	if a.conn.take(a.stream) != nil {
-		_ = a.conn.conn.Post(proto.TypeCancel, a.stream, nil, nil) // a closed connection reports itself
+	if op.conn.take(op.stream) != nil {
+		_ = op.conn.conn.Post(proto.TypeCancel, op.stream, nil, nil) // a closed connection reports itself
 	}
 }
 
@@ -206,16 +200,16 @@
 		if err != nil {
 			return err
 		}
-		if a := c.take(f.Stream); a != nil {
-			p.i.in.put(result{att: a, code: code, answer: answer, payload: f.Payload})
+		if op := c.take(f.Stream); op != nil {
+			p.i.in.put(result{op: op, code: code, answer: answer, payload: f.Payload})
 		}
 		return nil
 	case proto.TypeFirst:
 		c.mu.Lock()
-		a := c.atts[f.Stream]
+		op := c.ops[f.Stream]
 		c.mu.Unlock()
-		if a != nil {
-			p.i.in.put(begun{a})
+		if op != nil {
+			p.i.in.put(begun{op})
 		}
 		return nil
 	case proto.TypeDrain:
@@ -228,18 +222,18 @@
 	return fmt.Errorf("a node sends no frame of type %v", f.Type)
 }
 
-// reset gives each attempt that was out on a connection its own outcome.
+// reset gives each operation that was out on a connection its own outcome.
 func (p *pool) reset(c *nodeConn, cause error) {
 	c.mu.Lock()
 	c.ended = true
-	out := c.atts
-	c.atts = nil
+	out := c.ops
+	c.ops = nil
 	c.mu.Unlock()
 	if cause != nil && p.ctx.Err() == nil {
 		p.i.log.Info("node connection ended", "node", addrText(c.server), "out", len(out), "error", cause)
 	}
-	for _, a := range out {
-		p.i.in.put(result{att: a, code: control.Reset})
+	for _, op := range out {
+		p.i.in.put(result{op: op, code: control.Reset})
 	}
 	p.i.in.put(dropped{c})
 }
--- a/internal/sched/reasons.go
+++ b/internal/sched/reasons.go
@@ -5,6 +5,7 @@
 // Reasons of refusals and failures: the same words in answers and logs. docs/ops/running.md says what to do.
 const (
 	ReasonBad         = "bad-request"  // a field is out of the site's bounds
+	ReasonRange       = "bad-range"    // the range is empty, overflows, or is over the site's bounds
 	ReasonOverload    = "overload"     // more requests are open than the instance takes
 	ReasonStopping    = "stopping"     // the instance stops
 	ReasonHeld        = "not-in-time"  // given up before any attempt: it could not be served in time
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -202,4 +202,8 @@
 type Stats struct {
 	Taken, Served, Refused, Failed, Left            atomic.Uint64
 	Sends, Batches, Late, Moot, Overdue, KeptFailed atomic.Uint64
+
+	// Of ranged requests. Operations counts what was sent to nodes, an operation of several members once;
+	// Saved, what merging spared.
+	Split, Pieces, Operations, Merged, Members, Saved, Withdrawn, Partial, Copied atomic.Uint64
 }
