--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -214,14 +214,17 @@
 	return c
 }
 
-func (c *caller) ask(change func(*proto.Request)) uint64 {
+func (c *caller) ask(change func(*proto.Request)) uint64 { return c.send(nil, change) }
+
+func (c *caller) send(payload []byte, change func(*proto.Request)) uint64 {
 	c.t.Helper()
 	c.next++
 	q := proto.Request{Token: c.next, Volume: 1, Units: 1, Wait: 4 * time.Second, Writers: 1}
 	if change != nil {
 		change(&q)
 	}
-	if err := errors.Join(c.conn.Open(c.next), c.conn.Post(proto.TypeRequest, c.next, q, nil)); err != nil {
+	err := errors.Join(c.conn.Open(c.next), c.conn.Post(proto.TypeRequest, c.next, q, payload))
+	if err != nil {
 		c.t.Fatal(err)
 	}
 	return c.next
