--- a/cmd/landingpaddle/day.go
+++ b/cmd/landingpaddle/day.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"landingpaddle/internal/config"
 	"landingpaddle/internal/lab"
@@ -19,6 +20,7 @@
 	LogDir   string `help:"Write the logs here, for audit."`
 	JSON     bool   `help:"Print the verdicts as JSON."`
 	Baseline bool   `help:"Play the day again with everything sent at once, and compare what was served."`
+	Unmerged bool   `help:"Play the day again with nothing merged, and compare what was served."`
 	Verbose  bool   `help:"Show the instances' logs."`
 }
 
@@ -31,6 +33,7 @@
 	Verdicts []lab.Verdict `json:"rules"`
 	Worth    lab.Worth     `json:"worth"`
 	Baseline *lab.Worth    `json:"baseline,omitempty"`
+	Unmerged *lab.Worth    `json:"unmerged,omitempty"`
 	NotAsked int64         `json:"not_asked,omitempty"`
 }
 
@@ -53,15 +56,27 @@
 		}
 	}
 	r := dayResult{Day: day.Name, Seed: c.Seed, Verdicts: lab.Audit(&day.Site, played.Events),
-		Worth: lab.WorthOf(&day.Site, played.Events), NotAsked: played.NotAsked}
+		Worth: lab.WorthOf(&day.Site, played), NotAsked: played.NotAsked}
 	if c.Baseline {
 		base, err := c.play(&day, lab.Baseline(nil))
 		if err != nil {
 			return err
 		}
-		worth := lab.WorthOf(&day.Site, base.Events)
+		worth := lab.WorthOf(&day.Site, base)
 		r.Baseline = &worth
 	}
+	if c.Unmerged {
+		if day.Site.Extents == nil {
+			return fmt.Errorf("%s: the site has no (extents …), nothing is merged", day.Name)
+		}
+		day.Site.Extents.Alone = true
+		again, err := c.play(&day, sched.Hooks{})
+		if err != nil {
+			return err
+		}
+		worth := lab.WorthOf(&day.Site, again)
+		r.Unmerged = &worth
+	}
 	return r.print(out, c.JSON)
 }
 
@@ -113,6 +128,9 @@
 		if r.Baseline != nil {
 			printWorth(out, "sent at once", *r.Baseline)
 		}
+		if r.Unmerged != nil {
+			printWorth(out, "unmerged", *r.Unmerged)
+		}
 	}
 	if broken > 0 {
 		return errBroken{fmt.Sprintf("%d of %d rules broken", broken, len(r.Verdicts))}
@@ -133,9 +151,12 @@
 func printWorth(out io.Writer, what string, w lab.Worth) {
 	fmt.Fprintf(out,
 		"  %s: worth %.3f of what was asked; %d asked, %d in time, %d late, %d refused, %d failed, "+
-			"%d without answer; %d sends, %d of them for nothing\n",
+			"%d without answer; %d sends, %d of them for nothing\n"+
+			"  %s  %d operations at the nodes; served within %.0f ms (median), %.0f ms (p99); "+
+			"%.0f us CPU a request, clients and nodes included\n",
 		what, w.Share, w.Asked, w.InTime, w.Late,
-		w.Refused, w.Failed, w.None, w.Sends, w.Wasted)
+		w.Refused, w.Failed, w.None, w.Sends, w.Wasted,
+		strings.Repeat(" ", len(what)), w.Ops, w.P50, w.P99, w.CPU)
 }
 
 type auditCmd struct {
@@ -154,7 +175,7 @@
 		return err
 	}
 	r := dayResult{Day: c.Dir, Verdicts: lab.Audit(&site, events)}
-	r.Worth = lab.WorthOf(&site, events)
+	r.Worth = lab.WorthOf(&site, &lab.Played{Events: events})
 	return r.print(out, c.JSON)
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -694,8 +694,9 @@
 
 // accompany lets held requests leave as members of an operation just sent. A member keeps its tag, plan,
 // limit, patience and turn of its key. It joins in tag order, or ahead of it by no more than its volume's
-// largest request: its volume's next tags make that good. The operation costs the slots of its size, and by
-// this module's reckoning ends no later for a member than alone: less than the mean deviation it can't tell.
+// largest request: its volume's next tags make that good. The operation costs the slots of its size, even
+// beyond the depth, which then holds the next sends back: where the depth is full is where company is. By this
+// module's reckoning it ends no later for a member than alone: less than the mean deviation it can't tell.
 func (h *Host) accompany(lead *request, n *node) {
 	s, slots := lead.shard, lead.cost
 	h.company.Beside(lead.ID, func(id uint32, units float64) bool {
@@ -704,9 +705,8 @@
 			return false
 		}
 		cost, takes := lead.class.slots(units), h.lately(n)+h.extra(lead.class, units)
-		if (n.used > slots && n.used+cost-slots > h.bound(s, r)) || !h.bears(n, r.Units) ||
-			(r != s.queue[0] && (r.start+r.advance-s.vt)*r.vol.plan.Weight > h.set.MostUnits) ||
-			h.now+takes > min(r.aimBy, lead.aimBy) ||
+		if (r != s.queue[0] && (r.start+r.advance-s.vt)*r.vol.plan.Weight > h.set.MostUnits) ||
+			h.now+takes > min(r.aimBy, lead.aimBy) || !h.bears(n, r.Units) ||
 			takes > min(h.expect(n, lead), h.expect(n, r))+n.deviation || !h.mayGo(r, n, lead) {
 			return false
 		}
--- a/internal/config/programs.go
+++ b/internal/config/programs.go
@@ -131,22 +131,23 @@
 
 // Kind is how a stand-in node works.
 type Kind struct {
-	Cores    int           `s:"cores" min:"1" max:"64"`
-	Queue    int           `s:"queue" min:"1" max:"100000"`
-	PerUnit  time.Duration `s:"per-unit" min:"0s" max:"10s"`  // work of a read of one unit
-	WritePer float64       `s:"write-times" min:"0" max:"10"` // a write's work against a read's
-	Jitter   float64       `s:"jitter" min:"0" max:"1"`       // work varies by so much to either side
-	Deferred float64       `s:"deferred" min:"0" max:"1"`     // part of a write's work that is put off
-	Flush    time.Duration `s:"flush" min:"0s" max:"1m"`      // and done in one go so often
-	Again    float64       `s:"again" min:"0" max:"1"`        // less work for a key among the last few
-	Last     int           `s:"last" min:"0" max:"64"`
-	Conns    int           `s:"connections" min:"1" max:"65536"`
-	Drops    bool          `s:"cancel-drops"`    // a cancel drops work that waits
-	Stops    bool          `s:"cancel-stops"`    // and stops work that runs
-	Notices  bool          `s:"drain-notices"`   // it tells its connections when it drains
-	Pause    time.Duration `s:"pause" max:"10s"` // it stands still so long
-	Every    time.Duration `s:"every" max:"10m"` // so often
-	Bytes    int           `s:"bytes" min:"0"`   // payload of a read's answer for each unit
+	Cores        int           `s:"cores" min:"1" max:"64"`
+	Queue        int           `s:"queue" min:"1" max:"100000"`
+	PerUnit      time.Duration `s:"per-unit" min:"0s" max:"10s"`      // work of a read of one unit
+	PerOperation time.Duration `s:"per-operation" min:"0s" max:"10s"` // and of an operation, however large
+	WritePer     float64       `s:"write-times" min:"0" max:"10"`     // a write's work against a read's
+	Jitter       float64       `s:"jitter" min:"0" max:"1"`           // work varies by so much to either side
+	Deferred     float64       `s:"deferred" min:"0" max:"1"`         // part of a write that is put off
+	Flush        time.Duration `s:"flush" min:"0s" max:"1m"`          // and done in one go so often
+	Again        float64       `s:"again" min:"0" max:"1"`            // less for a key among the last
+	Last         int           `s:"last" min:"0" max:"64"`
+	Conns        int           `s:"connections" min:"1" max:"65536"`
+	Drops        bool          `s:"cancel-drops"`    // a cancel drops work that waits
+	Stops        bool          `s:"cancel-stops"`    // and stops work that runs
+	Notices      bool          `s:"drain-notices"`   // it tells its connections when it drains
+	Pause        time.Duration `s:"pause" max:"10s"` // it stands still so long
+	Every        time.Duration `s:"every" max:"10m"` // so often
+	Bytes        int           `s:"bytes" min:"0"`   // payload of a read's answer for each unit
 }
 
 // DefaultKind is a small box.
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -133,13 +133,23 @@
 	cc.conn.Done(f.Stream)
 	cc.c.log.Add(Event{Kind: KindAnswer, Inst: cc.inst, Client: cc.c.number, Conn: cc.nth, Seq: f.Stream,
 		Token: q.Token, Try: int(q.Try), Class: int(q.Class), Plan: int(q.Plan), Volume: q.Volume, Key: q.Key,
-		Units: int(q.Units), Code: a.Code, Reason: a.Reason, Wait: int64(a.Advice), Cell: int(a.Cell) - 1})
+		Units: int(q.Units), Code: a.Code, Reason: a.Reason, Wait: int64(a.Advice), Cell: int(a.Cell) - 1,
+		Sum: sumOf(q.Offset, f.Payload), Data: rangedOf(&q), Offset: q.Offset,
+		Length: uint64(len(f.Payload)), Write: q.Write})
 	if done != nil {
 		done <- a
 	}
 	return nil
 }
 
+// rangedOf is the volume whose bytes a ranged request is for, else 0.
+func rangedOf(q *proto.Request) uint64 {
+	if q.Ranged {
+		return q.Of()
+	}
+	return 0
+}
+
 func (cc *clientConn) end() {
 	cc.c.forget(cc)
 	cc.mu.Lock()
@@ -210,11 +220,22 @@
 	e := Event{Kind: KindSent, Inst: inst, Client: c.number, Conn: cc.nth, Seq: stream, Token: q.Token,
 		Try: int(q.Try), Class: int(q.Class), Plan: int(q.Plan), Volume: q.Volume, Key: q.Key,
 		Units: int(q.Units), Wait: int64(q.Wait), Cell: int(q.Cell), Write: q.Write}
+	var payload []byte
+	if q.Ranged {
+		e.Data, e.Offset, e.Length = q.Of(), q.Offset, uint64(q.Length)
+		if q.Write {
+			payload = make([]byte, q.Length)
+			for i := range payload {
+				payload[i] = writtenByte(q.Token, q.Offset+uint64(i))
+			}
+			e.Sum = sumOf(q.Offset, payload)
+		}
+	}
 	// Logged and posted under one lock: the order in the log is the order on the connection.
 	c.log.Add(e)
 	err := cc.conn.Open(stream)
 	if err == nil {
-		err = cc.conn.Post(proto.TypeRequest, stream, q, nil)
+		err = cc.conn.Post(proto.TypeRequest, stream, q, payload)
 	}
 	cc.mu.Unlock()
 	if err != nil {
--- a/internal/lab/dayfile.go
+++ b/internal/lab/dayfile.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"landingpaddle/internal/config"
+	"landingpaddle/internal/proto"
 	"landingpaddle/internal/sexpr"
 )
 
@@ -57,8 +58,31 @@
 	New     bool    `s:"new-objects"`
 	Hot     float64 `s:"hot" min:"0" max:"1"`       // part of it that goes to the first volume
 	Writers int     `s:"writers" min:"1" max:"512"` // instances that a volume comes through
+	Fields  *Fields `s:"fields"`
 }
 
+// Fields make a stream ask for bytes of fields, one field a volume, slice by slice: at random places at the
+// stream's rate, or with a run all slices at the same moment.
+type Fields struct {
+	Size   sexpr.Size    `s:"size,required" min:"1B" max:"1GiB"`
+	Slice  sexpr.Size    `s:"slice,required" min:"1B" max:"64MiB"`
+	Shared bool          `s:"shared"`                   // all volumes read the first one's field
+	Run    time.Duration `s:"run" min:"0s" max:"10m"`   // so often all slices are asked for; 0: at random
+	Spread time.Duration `s:"spread" min:"0s" max:"1m"` // within so long
+}
+
+// at makes a request one for the nth slice of its field.
+func (f *Fields) at(q *proto.Request, nth uint64) {
+	q.Ranged, q.Offset = true, nth*uint64(f.Slice)
+	q.Length, q.Cell = uint32(min(f.Slice, f.Size-sexpr.Size(q.Offset))), 0
+	if f.Shared {
+		q.Data = q.Volume>>32<<32 | 1
+	}
+}
+
+// slices is how many a field has.
+func (f *Fields) slices() uint64 { return uint64((f.Size + f.Slice - 1) / f.Slice) }
+
 // Check holds what binds fields to one another.
 func (t *Traffic) Check() error {
 	if t.Units == nil {
@@ -241,6 +265,9 @@
 		if d.Site.ClassNumber(t.Class) < 0 || d.Site.PlanNumber(t.Plan) < 0 {
 			return fmt.Errorf("traffic of class %s and plan %s: the site lacks one of them", t.Class, t.Plan)
 		}
+		if t.Fields != nil && d.Site.Extents == nil {
+			return fmt.Errorf("traffic of fields: the site has no (extents …)")
+		}
 	}
 	for i := range d.Troubles {
 		t := &d.Troubles[i]
--- a/internal/lab/log.go
+++ b/internal/lab/log.go
@@ -73,6 +73,12 @@
 	Zone    int        `json:"zone,omitempty"`
 	Cell    int        `json:"cell,omitempty"`
 	Write   bool       `json:"write,omitempty"`
+	Op      uint64     `json:"op,omitempty"`    // at a node: of several members, each has its own line
+	Piece   int        `json:"piece,omitempty"` // of the client's request
+	Data    uint64     `json:"data,omitempty"`  // volume whose bytes a ranged request is for
+	Offset  uint64     `json:"offset,omitempty"`
+	Length  uint64     `json:"length,omitempty"`
+	Sum     uint64     `json:"sum,omitempty"` // of the bytes and their places
 }
 
 // Log keeps events in the order in which they were noted.
