Writes of one key that lost a member on the way are never out side by side

Now only the first of a key goes, the others go back to the module as not sent; a test on sockets provokes it. A node ends a merged write at the first member that fails, so those after it count as failed too, and classes that are safe but ordered, where nobody drops a repeat, do not merge writes of one key.

--- a/control/control.go
+++ b/control/control.go
@@ -695,8 +695,8 @@
 // accompany lets held requests leave as members of an operation just sent. A member keeps its tag, plan,
 // limit, patience and turn of its key. It joins in tag order, or ahead of it by no more than its volume's
 // largest request: its volume's next tags make that good. The operation costs the slots of its size, even
-// beyond the depth, which then holds the next sends back: where the depth is full is where company is. By this
-// module's reckoning it ends no later for a member than alone: less than the mean deviation it can't tell.
+// beyond the depth, which then holds the next sends back: a full depth is where company is. By this module's
+// reckoning it ends no later for a member than alone: less than the mean deviation it can't tell.
 func (h *Host) accompany(lead *request, n *node) {
 	s, slots := lead.shard, lead.cost
 	h.company.Beside(lead.ID, func(id uint32, units float64) bool {
@@ -773,11 +773,11 @@
 }
 
 // mayGo holds the guards that concern one request: its key's turn, its class's repeats, its plan's limit. A
-// member of an operation may follow those of its key that are members too.
+// member of an operation may follow those of its key that are members too, unless each could run again later.
 func (h *Host) mayGo(r *request, n *node, lead *request) bool {
 	if r.class.InOrder && r.Key != 0 {
 		k, at := h.keys[r.Key], 0
-		for lead != nil && at < len(k.list) && k.list[at].of(lead) {
+		for lead != nil && r.class.Repeat != Safe && at < len(k.list) && k.list[at].of(lead) {
 			at++
 		}
 		if at == len(k.list) || k.list[at] != r || (r.attempts == 0 && h.now < k.rest) {
--- a/extent/planner.go
+++ b/extent/planner.go
@@ -372,14 +372,15 @@
 }
 
 // Deal gives each member its part of a served operation's answer. Bad are ranges, from the operation's first
-// byte on, that the node could not serve: only members that need one of them fail. A read whose bytes are
-// not all there fails as a whole.
+// byte on, that the node could not serve: only members that need one of them fail. A node carries out writes
+// in the order of the members and ends at the first that fails, so those after it fail too: one of the same
+// key must not be done before it. A read whose bytes are not all there fails as a whole.
 func (o *Operation) Deal(bad []Range, data []byte) []Part {
 	parts := make([]Part, len(o.Members))
 	whole := o.Write || uint64(len(data)) == o.Range.Length
 	for i, m := range o.Members {
 		at := o.Slice(m)
-		parts[i].OK = whole
+		parts[i].OK = whole && (!o.Write || i == 0 || parts[i-1].OK)
 		for _, b := range bad {
 			if b.Offset < at.End() && (at.Offset < b.End() || b.End() < b.Offset) {
 				parts[i].OK = false
--- a/extent/planner_test.go
+++ b/extent/planner_test.go
@@ -464,6 +464,16 @@
 	}
 }
 
+// Of writes that share an operation, those after the first that fails have failed too.
+func TestAFailedWriteFailsThoseAfterIt(t *testing.T) {
+	p := fresh(t, wide, true, Range{0, 10}, Range{10, 10}, Range{20, 10})
+	ids, _ := beside(p, 1)
+	op := p.Left(append([]uint32{1}, ids...))
+	if got := fmt.Sprint(op.Deal([]Range{{12, 1}}, nil)); got != "[{true []} {false []} {false []}]" {
+		t.Errorf("got %s", got)
+	}
+}
+
 // What the planner costs to hold, offer, send and end one read, by how many are held.
 func BenchmarkPlanner(b *testing.B) {
 	for _, held := range []int{10, 100, 1000, 10_000, 100_000} {
--- a/internal/sched/extents_test.go
+++ b/internal/sched/extents_test.go
@@ -464,6 +464,56 @@
 	x.c.once()
 }
 
+// Three writes of one key wait as one operation for a connection; the first one's client leaves. The other
+// two do not touch what has gone any more, and must still not be out side by side.
+func TestWritesOfOneKeyAfterOneHasLeft(t *testing.T) {
+	x := newExtents(t, nil)
+	v := x.volumeAt(0, 0)
+	slow := &disk{bytes: map[uint64][]byte{}}
+	slow.fakeNode = &fakeNode{ln: x.listen(), conns: make(chan *proto.Conn, 64)}
+	e := slow.entry(0, control.Ready)
+	e.Boot = time.Now().UnixNano()
+	x.list.Put(e)
+	x.logged("node=" + slow.ln.Addr().String())
+	var mu sync.Mutex
+	out := 0
+	slow.first = func(n int, c *proto.Conn, f proto.Frame, q proto.Request) bool {
+		mu.Lock()
+		if out++; out > 1 {
+			t.Errorf("write %d reached the node while another of its key was out", q.Token)
+		}
+		mu.Unlock()
+		time.AfterFunc(30*time.Millisecond, func() {
+			mu.Lock()
+			out--
+			mu.Unlock()
+			_ = slow.do(c, f, q, nil)
+		})
+		return true
+	}
+	var ids []uint64
+	for i := range 3 {
+		ids = append(ids, x.write(v, uint64(i)*1000, 1000, byte(i+1), func(q *proto.Request) { q.Key = 7 }))
+	}
+	for x.inst.Stats.Operations.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_ = x.c.conn.Post(proto.TypeCancel, ids[0], nil, nil)
+	for x.inst.Stats.Left.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	x.serve(slow.fakeNode, proto.Config{}, slow.serve)
+	for _, id := range ids[1:] {
+		if a := x.c.wait(id); a.Code != proto.OK {
+			t.Errorf("write %d: %+v", id, a)
+		}
+	}
+	if ops := slow.ranged(); len(ops) != 2 || ops[0].Token != ids[1] || ops[1].Token != ids[2] {
+		t.Errorf("the node saw %+v", ops)
+	}
+	x.c.once()
+}
+
 // A split write's second piece is turned away for good and its first has run: failed, and what is where is
 // told and logged. Had the first been turned away too, it would be a refusal.
 func TestASplitWriteThatFailsInPart(t *testing.T) {
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -590,7 +590,9 @@
 }
 
 // live is what of an operation is still to be sent: nothing is sent for a request that has its end or whose
-// time is up. Where members have dropped out, the others may not touch any more, so each goes alone.
+// time is up. Where members have dropped out, the others may not touch any more, so each goes alone. Of
+// several of one ordered key only the first may: the others go back to the module as not sent. (Sent side by
+// side, they were carried out in any order.)
 func (l *loop) live(op *operation) []*operation {
 	var keep []*attempt
 	for _, a := range op.members {
@@ -608,7 +610,16 @@
 		return []*operation{op}
 	}
 	var out []*operation
+	keys := map[uint64]bool{}
 	for _, a := range keep {
+		if q := &a.req.call.req; q.Key != 0 && l.i.cfg.Site.Classes[q.Class].InOrder {
+			if keys[q.Key] {
+				l.i.in.put(result{op: &operation{server: op.server, members: []*attempt{a}},
+					code: control.ConnectFailed})
+				continue
+			}
+			keys[q.Key] = true
+		}
 		a.op = &operation{server: op.server, members: []*attempt{a}}
 		a.op.seal(l)
 		out = append(out, a.op)
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -106,6 +106,14 @@
 func (r *rig) nodeOf(cfg proto.Config, cell uint16,
 	serve func(c *proto.Conn, f proto.Frame, q proto.Request) error) *fakeNode {
 	n := &fakeNode{ln: r.listen(), conns: make(chan *proto.Conn, 64)}
+	r.serve(n, cfg, serve)
+	r.list.Put(n.entry(cell, control.Ready))
+	return n
+}
+
+// serve lets a fake node take connections.
+func (r *rig) serve(n *fakeNode, cfg proto.Config,
+	serve func(c *proto.Conn, f proto.Frame, q proto.Request) error) {
 	r.wg.Go(func() {
 		_ = proto.Serve(r.ctx, n.ln, cfg, 64, func(ctx context.Context, c *proto.Conn) {
 			select {
@@ -124,8 +132,6 @@
 			})
 		})
 	})
-	r.list.Put(n.entry(cell, control.Ready))
-	return n
 }
 
 func (n *fakeNode) entry(cell uint16, s control.Status) roster.Entry {
