--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -55,8 +55,11 @@
 	sent   []*tryLog // in order
 }
 
-// noNode is no node's number.
-const noNode = -1
+// Numbers of no node and no instance.
+const (
+	noNode = -1
+	noInst = -1
+)
 
 type span struct{ from, to int64 }
 
@@ -435,6 +438,10 @@
 				first := after[0].arrive
 				for _, at := range before {
 					slack := near + a.excuse(first.Inst, first.Node, at.arrive.T, first.T)
+					// Pieces of one key lie on several nodes.
+					if other := at.arrive.Node; other != first.Node {
+						slack += a.excuse(noInst, other, at.arrive.T, first.T)
+					}
 					switch {
 					case at.arrive.T > first.T+slack:
 						a.broke(RuleOrder, first, "sent before request %d of the same key, taken earlier",
