A node is told when one member of an operation is given up on

An instance now calls off single members (Cancel with their places), and nodes leave out those that still wait. A test on sockets sees the call before the next write; without the call it fails.

--- a/internal/lab/disk.go
+++ b/internal/lab/disk.go
@@ -75,7 +75,7 @@
 // member is one request's part of an operation at a node.
 type member struct {
 	proto.Member
-	repeat bool   // dropped: its group remembers it
+	repeat bool   // dropped: its group remembers it, or it was called off while it waited
 	sum    uint64 // of its bytes, once carried out
 }
 
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -146,6 +146,11 @@
 	at       time.Time
 }
 
+// only is an operation as the log tells of one of its members.
+func (o *op) only(m member) *op {
+	return &op{inst: o.inst, req: o.req, nth: o.nth, members: []member{m}}
+}
+
 type opState uint8
 
 const (
@@ -382,8 +387,14 @@
 		l.mu.Lock()
 		o := l.conns[c][f.Stream]
 		l.mu.Unlock()
+		var c proto.Cancel
+		if len(f.Header) > 0 {
+			if err := f.Decode(&c); err != nil {
+				return err
+			}
+		}
 		if o != nil {
-			l.call(o)
+			l.callSome(o, c.Members)
 		}
 	case proto.TypeProbe:
 		return c.Post(proto.TypeProbed, f.Stream, proto.Answer{Code: proto.OK, Load: l.load()}, nil)
@@ -408,6 +419,28 @@
 	o.calledBy()
 }
 
+// callSome takes in that some members of an operation are called off; none named: all.
+func (l *life) callSome(o *op, places []uint16) {
+	if len(places) == 0 {
+		l.call(o)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, at := range places {
+		if int(at) >= len(o.members) || o.members[at].repeat {
+			continue
+		}
+		one := o.only(o.members[at])
+		l.logOp(KindCalled, one, 0)
+		if o.state == opWaits && l.n.cfg.Kind.Drops {
+			o.members[at].repeat = true // it takes no effect, and its end is noted now
+			l.logOp(KindCancel, one, proto.Dropped)
+			l.forget(one)
+		}
+	}
+}
+
 func (l *life) forget(o *op) {
 	if class := l.n.cfg.Site.Classes[o.req.Class]; class.Repeat == config.Repeat(control.Keyed) {
 		for _, m := range o.members {
@@ -426,9 +459,7 @@
 		m.repeat = !l.group(class).first(m.effect(), class.Window)
 		all = all && m.repeat
 		if m.repeat {
-			one := *o
-			one.members = []member{{Member: m.Member}}
-			l.logOp(KindRepeat, &one, proto.OK)
+			l.logOp(KindRepeat, o.only(member{Member: m.Member}), proto.OK)
 		}
 	}
 	return all
--- a/internal/proto/frame.go
+++ b/internal/proto/frame.go
@@ -25,7 +25,7 @@
 	TypeRequest  Type = 2  // header Request, payload of a write
 	TypeAnswer   Type = 3  // the one final answer of a stream; header Answer, payload of a read
 	TypeFirst    Type = 4  // a streamed answer has begun; no header
-	TypeCancel   Type = 5  // the sender no longer wants the stream's answer; it still gets one
+	TypeCancel   Type = 5  // the stream's answer is no longer wanted; it still comes; no header or Cancel
 	TypeProbe    Type = 6  // asks whether the other side lives; no header
 	TypeProbed   Type = 7  // its answer; header Answer
 	TypeDrain    Type = 8  // the sender takes nothing new from now on
--- a/internal/proto/messages.go
+++ b/internal/proto/messages.go
@@ -99,6 +99,11 @@
 	Unsent uint16 `cbor:"11,keyasint,omitempty"`
 }
 
+// Cancel calls off members of an operation, by their places; none: all of it.
+type Cancel struct {
+	Members []uint16 `cbor:"1,keyasint,omitempty"`
+}
+
 // Bad is a range of bytes that a node could not serve.
 type Bad struct {
 	_      struct{} `cbor:",toarray"`
--- a/internal/sched/extents_test.go
+++ b/internal/sched/extents_test.go
@@ -19,6 +19,7 @@
 	mu    sync.Mutex
 	bytes map[uint64][]byte // by volume
 	ops   []proto.Request
+	calls [][]uint16 // members called off, by operation calls
 	// Where set, first sees an operation; it tells whether it has dealt with it.
 	first func(n int, c *proto.Conn, f proto.Frame, q proto.Request) bool
 }
@@ -38,6 +39,17 @@
 }
 
 func (d *disk) serve(c *proto.Conn, f proto.Frame, q proto.Request) error {
+	if f.Type == proto.TypeCancel {
+		var call proto.Cancel
+		if len(f.Header) > 0 {
+			if err := f.Decode(&call); err != nil {
+				return err
+			}
+		}
+		d.mu.Lock()
+		d.calls = append(d.calls, call.Members)
+		d.mu.Unlock()
+	}
 	if f.Type != proto.TypeRequest {
 		return nil
 	}
@@ -464,6 +476,39 @@
 	x.c.once()
 }
 
+// Two writes of different keys share an operation that does not end; the first one's time is up. Its node
+// is told so before a later write of its key comes, which else could run first.
+func TestAMembersTimeIsToldBeforeItsKeyGoesOn(t *testing.T) {
+	x := newExtents(t, nil)
+	v, d := x.volumeAt(0, 0), x.disks[0]
+	calls := -1
+	d.first = func(n int, c *proto.Conn, f proto.Frame, q proto.Request) bool {
+		if q.Ranged && len(q.Members) == 0 {
+			d.mu.Lock()
+			calls = len(d.calls)
+			d.mu.Unlock()
+		}
+		return len(q.Members) > 0
+	}
+	patient := x.write(v, 0, 1000, 1, func(q *proto.Request) { q.Key, q.Wait = 8, 2*time.Second })
+	hasty := x.write(v, 1000, 1000, 2, func(q *proto.Request) { q.Key, q.Wait = 7, 700*time.Millisecond })
+	if a := x.c.wait(hasty); a.Code == proto.OK {
+		t.Errorf("the hasty one got %+v", a)
+	}
+	if a := x.c.wait(x.write(v, 1000, 1000, 3, func(q *proto.Request) { q.Key = 7 })); a.Code != proto.OK {
+		t.Errorf("the next of its key got %+v", a)
+	}
+	x.c.wait(patient)
+	if len(d.ranged()) < 2 || len(d.ranged()[0].Members) != 2 {
+		t.Fatalf("the node saw %+v", d.ranged())
+	}
+	if d.mu.Lock(); calls < 1 || fmt.Sprint(d.calls[0]) != "[1]" {
+		t.Errorf("%d calls before the next write, of %v", calls, d.calls)
+	}
+	d.mu.Unlock()
+	x.c.once()
+}
+
 // Three writes of one key wait as one operation for a connection; the first one's client leaves. The other
 // two do not touch what has gone any more, and must still not be out side by side.
 func TestWritesOfOneKeyAfterOneHasLeft(t *testing.T) {
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -487,15 +487,18 @@
 }
 
 // giveUp ends an attempt on this side: its time is up or it was called off. An operation is called off at
-// its node once no member waits for it.
+// its node once no member waits for it, and one of several members for itself: a write that was given up on
+// here but still stood in an operation at its node was done after a later one of its key.
 func (l *loop) giveUp(a *attempt, code control.Code) {
 	if a.over {
 		return
 	}
 	l.ended(a, code, proto.Answer{}, nil, false)
-	if !slices.ContainsFunc(a.op.members, func(o *attempt) bool { return !o.over }) {
-		l.pool.cancel(a.op)
+	if slices.ContainsFunc(a.op.members, func(o *attempt) bool { return !o.over }) {
+		l.pool.cancelMember(a.op, slices.Index(a.op.members, a))
+		return
 	}
+	l.pool.cancel(a.op)
 }
 
 func (l *loop) act(action control.Action) {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -185,6 +185,14 @@
 	}
 }
 
+// cancelMember tells the node that one of an operation's members no longer waits.
+func (p *pool) cancelMember(op *operation, place int) {
+	if op.conn != nil {
+		call := proto.Cancel{Members: []uint16{uint16(place)}}
+		_ = op.conn.conn.Post(proto.TypeCancel, op.stream, call, nil) // a closed connection reports itself
+	}
+}
+
 // frame runs on a connection's own goroutine.
 func (p *pool) frame(c *nodeConn, f proto.Frame) error {
 	switch f.Type {
