--- a/cmd/landingpaddle/sweep.go
+++ b/cmd/landingpaddle/sweep.go
@@ -55,8 +55,8 @@
 func (c *sweepCmd) Run(out io.Writer) error {
 	var all []swept
 	name := ""
-	fmt.Fprintf(out, "%-10s %8s %8s %8s %12s %8s %8s\n", c.Bound, "worth", "served", "ops", "ops/served", "p50 ms",
-		"p99 ms")
+	fmt.Fprintf(out, "%-10s %8s %8s %8s %12s %8s %8s\n", c.Bound, "worth", "served", "ops", "ops/served",
+		"p50 ms", "p99 ms")
 	for _, value := range c.Values {
 		day, err := lab.ReadDay(c.File)
 		if err != nil {
