--- a/internal/lab/hard_test.go
+++ b/internal/lab/hard_test.go
@@ -154,7 +154,8 @@
 	defer node.ln.Close()
 	l := &life{n: node, conns: map[*proto.Conn]map[uint64]*op{conn: {}}}
 	conn.Close(proto.ErrClosed)
-	l.answer(&op{conn: conn, stream: 1, calledBy: func() {}}, KindEnd, proto.OK)
+	o := &op{conn: conn, stream: 1, members: []member{{}}, calledBy: func() {}}
+	l.answer(o, KindEnd, proto.OK)
 	events := node.cfg.Log.Events()
 	if last := events[len(events)-1]; last.Kind != KindCalled {
 		t.Errorf("logged %+v", events)
