--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -76,8 +76,12 @@
 	fresh   bool          // the module was told of something
 	spare   []any
 	last    time.Duration // end of the last batch
+	told    time.Duration // when the counters were last logged
 }
 
+// tellEvery is how often an instance that works logs its counters.
+const tellEvery = time.Minute
+
 func newLoop(ctx context.Context, g *errgroup.Group, i *Instance) *loop {
 	set := i.cfg.Site.Control(i.cfg.Number, i.cfg.Of, i.cfg.Zone, i.link != nil)
 	module := control.New(i.cfg.Seed, set)
@@ -104,6 +108,7 @@
 		kept = k
 	}
 	l.now = l.i.now()
+	l.told = l.now
 	l.tell(l.view.Restore(l.i.clock(), kept))
 	l.decide()
 	timer := time.NewTimer(time.Hour)
@@ -161,6 +166,10 @@
 		l.i.in.ring()
 	}
 	l.count()
+	if l.now-l.told >= tellEvery {
+		l.told = l.now
+		l.i.log.Info("counters", "all", &l.i.Stats)
+	}
 	l.last = l.i.now()
 }
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -168,6 +168,7 @@
 	})
 	i.log.Info("instance started", "clients", i.Addr().String(), "list", i.cfg.List, "of", i.cfg.Of)
 	err := g.Wait()
+	i.log.Info("counters", "all", &i.Stats)
 	switch {
 	case errors.Is(err, errDone):
 		i.log.Info("instance stopped", "cause", "asked")
@@ -207,3 +208,29 @@
 	// Saved, what merging spared.
 	Split, Pieces, Operations, Merged, Members, Saved, Withdrawn, Partial, Copied atomic.Uint64
 }
+
+// LogValue lists the counters for the log, those of ranged requests only where there were some.
+func (s *Stats) LogValue() slog.Value {
+	var out []slog.Attr
+	add := func(name string, c *atomic.Uint64) { out = append(out, slog.Uint64(name, c.Load())) }
+	add("taken", &s.Taken)
+	add("served", &s.Served)
+	add("refused", &s.Refused)
+	add("failed", &s.Failed)
+	add("left", &s.Left)
+	add("sends", &s.Sends)
+	add("late", &s.Late)
+	add("overdue", &s.Overdue)
+	if s.Pieces.Load() > 0 {
+		add("split", &s.Split)
+		add("pieces", &s.Pieces)
+		add("operations", &s.Operations)
+		add("merged", &s.Merged)
+		add("members", &s.Members)
+		add("saved", &s.Saved)
+		add("withdrawn", &s.Withdrawn)
+		add("partial", &s.Partial)
+		add("copied", &s.Copied)
+	}
+	return slog.GroupValue(out...)
+}
