Settings files take parts from others by (include …)

The examples repeated one site in three files, and expectations are to stand in a file beside the settings.

--- a/cmd/landingpaddle/day.go
+++ b/cmd/landingpaddle/day.go
@@ -185,7 +185,7 @@
 
 // Run prints the settings in force, defaults included.
 func (c *checkCmd) Run(out io.Writer) error {
-	nodes, err := sexpr.ReadFile(c.File)
+	nodes, err := sexpr.ReadTree(c.File)
 	if err != nil {
 		return err
 	}
@@ -194,10 +194,10 @@
 	}
 	head := nodes[0].Head()
 	inst, node := config.DefaultInstance(), config.DefaultNode()
-	list, day := config.DefaultList(), lab.DefaultDay()
-	into := map[string]any{"instance": &inst, "node": &node, "list": &list, "day": &day}[head]
+	list, day, site := config.DefaultList(), lab.DefaultDay(), config.DefaultSite()
+	into := map[string]any{"instance": &inst, "node": &node, "list": &list, "day": &day, "site": &site}[head]
 	if into == nil {
-		return sexpr.Errorf(nodes[0].Pos, "found %q; want instance, node, list or day", head)
+		return sexpr.Errorf(nodes[0].Pos, "found %q; want instance, node, list, day or site", head)
 	}
 	if err := sexpr.One(nodes, c.File, head, into); err != nil {
 		return err
--- a/internal/config/programs.go
+++ b/internal/config/programs.go
@@ -158,7 +158,7 @@
 
 // Load reads a file that holds one form of that head into out, which holds the defaults.
 func Load(path, head string, out any) error {
-	nodes, err := sexpr.ReadFile(path)
+	nodes, err := sexpr.ReadTree(path)
 	if err != nil {
 		return err
 	}
