expect: claims on a fleet's reach, reserves, shares, limits and cold nodes, checked without traffic

The first part of routing expectations: a decision module that reasons over settings, placements and weights through every case of what may be gone at once, and tells the worst with its case.

--- /dev/null
+++ b/expect/expect_test.go
@@ -0,0 +1,187 @@
+package expect
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// hall is a fleet of two zones with two nodes each, of 100 units a second, and a standby for cell 0.
+func hall() *Fleet {
+	return &Fleet{Instances: 4, ColdUnits: 60, MeanUnits: 2,
+		Plans: []Plan{{Name: "standard", Reserve: 10, Weight: 1, Limit: 50},
+			{Name: "operational", Reserve: 60, Weight: 3}},
+		Nodes: []Node{{"a-1", 0, "a", 100}, {"a-2", 1, "a", 100}, {"b-1", 2, "b", 100}, {"b-2", 3, "b", 100},
+			{"b-spare", 0, "b", 100}},
+		Volumes: []Volume{{Name: "charts", Plan: 0, Writers: 2, Paths: 2, Cells: []int{0}},
+			{Name: "model", Plan: 1, Writers: 1, Paths: 1}, {Name: "archive", Plan: 0, Writers: 1, Paths: 2,
+				Cells: []int{1, 3}}}}
+}
+
+// Each claim is judged by its worst case, which is named.
+func TestStaticChecks(t *testing.T) {
+	gone := func(n int, k Kind, name string) *Gone { return &Gone{n, Selector{k, name}} }
+	for _, c := range []struct {
+		e    Expectation
+		want string
+	}{
+		{Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Bound: 1}, "holds 1.00  of 1"},
+		{Expectation{Measure: Reach, Of: Selector{Volumes, "charts"}, Bound: 1, Gone: gone(1, Nodes, "*")},
+			"holds 1.00 node a-1 of 5"},
+		{Expectation{Measure: Reach, Of: Selector{Volumes, "charts"}, Bound: 1, Gone: gone(2, Nodes, "*")},
+			"broken 0.00 node a-1 and node b-spare of 10"},
+		{Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Bound: 1, Gone: gone(1, Nodes, "*")},
+			"broken 0.50 node a-2 of 5"},
+		{Expectation{Measure: Reach, Of: Selector{Plans, "operational"}, Bound: 0.5,
+			Gone: gone(1, Zones, "*")}, "holds 0.50 zone b of 2"},
+		// cell 0: charts 10, model 15; cells 1 and 3: 5 and 15; cell 2: 15
+		{Expectation{Measure: Reserve, Of: Selector{Nodes, "*"}, AtMost: true, Bound: 0.25},
+			"holds 0.25  of 1"},
+		{Expectation{Measure: Reserve, Of: Selector{Nodes, "*"}, AtMost: true, Bound: 0.24},
+			"broken 0.25  of 1"},
+		{Expectation{Measure: Reserve, Of: Selector{Zones, "b"}, AtMost: true, Bound: 0.2,
+			Gone: gone(1, Nodes, "a-*")}, "holds 0.20 node a-1 of 2"},
+		{Expectation{Measure: Reserve, Of: Selector{Zones, "b"}, AtMost: true, Bound: 0.19,
+			Gone: gone(1, Zones, "a")}, "broken 0.20 zone a of 1"},
+		{Expectation{Measure: Share, Of: Selector{Volumes, "charts"}, Bound: 0.25}, "holds 0.25  of 1"},
+		{Expectation{Measure: Share, Of: Selector{Volumes, "model"}, AtMost: true, Bound: 0.75},
+			"broken 1.00  of 1"},
+		{Expectation{Measure: Limit, Of: Selector{Volumes, "charts"}, AtMost: true, Bound: 1},
+			"holds 1.00  of 1"},
+		{Expectation{Measure: Limit, Of: Selector{Plans, "standard"}, AtMost: true, Bound: 1},
+			"broken 2.00  of 1"},
+		{Expectation{Measure: Cold, Of: Selector{Nodes, "*"}, AtMost: true, Bound: 0.1}, "broken 0.13  of 1"},
+		{Expectation{Measure: Send, Of: Selector{Volumes, "*"}, AtMost: true}, "undecided 0.00  of 0"},
+		{Expectation{Measure: Limit, Of: Selector{Volumes, "model"}, AtMost: true, Bound: 1},
+			"undecided 0.00  of 1"},
+	} {
+		f := Check(hall(), []Expectation{c.e})[0]
+		if got := fmt.Sprintf("%s %.2f %s of %d", f.Verdict, f.Value, f.Case, f.Cases); got != c.want {
+			t.Errorf("%s %v: %s; want %s", c.e.Measure, c.e.Of, got, c.want)
+		}
+		if (f.Verdict == Undecided) != (f.Why != "") {
+			t.Errorf("%s: undecided without a reason, or the other way: %+v", c.e.Measure, f)
+		}
+	}
+}
+
+// A weight change keeps the shares but a reserve breaks once a node is gone: only the case tells.
+func TestAReserveThatBreaksWithANodeGone(t *testing.T) {
+	f := hall()
+	e := Expectation{Measure: Reserve, Of: Selector{Nodes, "b-spare"}, AtMost: true, Bound: 0.2,
+		Gone: &Gone{1, Selector{Nodes, "*"}}}
+	if got := Check(f, []Expectation{e})[0]; got.Verdict != Broken || got.Case != "node a-1" {
+		t.Errorf("got %+v", got)
+	}
+	e.Gone = nil
+	if got := Check(f, []Expectation{e})[0]; got.Verdict != Holds {
+		t.Errorf("with all up: %+v", got)
+	}
+}
+
+// Too many cases are not looked at, and that is said.
+func TestTooManyCases(t *testing.T) {
+	f := &Fleet{Plans: []Plan{{Name: "p", Weight: 1}}, Volumes: []Volume{{Name: "v"}}}
+	for i := range 200 {
+		f.Nodes = append(f.Nodes, Node{Name: fmt.Sprintf("n-%d", i), Cell: i, Capacity: 1})
+	}
+	e := Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Gone: &Gone{4, Selector{Nodes, "*"}}}
+	got := Check(f, []Expectation{e})[0]
+	if got.Verdict != Undecided || got.Cases != 0 || !strings.Contains(got.Why, "6.47e+07 cases") {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestContradictions(t *testing.T) {
+	a := Expectation{Name: "a", Measure: Share, Of: Selector{Volumes, "x"}, Bound: 0.5}
+	b := Expectation{Name: "b", Measure: Share, Of: Selector{Volumes, "x"}, AtMost: true, Bound: 0.4}
+	c := b
+	c.Gone = &Gone{1, Selector{Nodes, "*"}}
+	if got := Contradictions([]Expectation{a, b, c}); len(got) != 1 || got[0][0].Name != "a" ||
+		got[0][1].Name != "b" {
+		t.Errorf("got %+v", got)
+	}
+	b.Bound = 0.5
+	if got := Contradictions([]Expectation{a, b, c}); len(got) != 0 {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// More that is gone is never better for what must be reached; shares at a node add up to one; and choices are
+// as many as they should be.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &Fleet{Instances: 3, Plans: []Plan{{Name: "p", Weight: 1, Reserve: 1}, {Name: "q", Weight: 3}}}
+		for i := range rapid.IntRange(2, 6).Draw(t, "nodes") {
+			f.Nodes = append(f.Nodes, Node{Name: fmt.Sprint("n", i), Zone: "z", Capacity: 10,
+				Cell: rapid.IntRange(0, 3).Draw(t, "cell")})
+		}
+		for i := range rapid.IntRange(1, 5).Draw(t, "volumes") {
+			v := Volume{Name: fmt.Sprint("v", i), Plan: rapid.IntRange(0, 1).Draw(t, "plan"),
+				Count: rapid.IntRange(1, 3).Draw(t, "count")}
+			if rapid.Bool().Draw(t, "one cell") {
+				v.Cells = []int{f.Nodes[0].Cell}
+			}
+			f.Volumes = append(f.Volumes, v)
+		}
+		last := math.Inf(1)
+		for n := range len(f.Nodes) + 1 {
+			e := Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Gone: &Gone{n, Selector{Nodes, "*"}}}
+			got := Check(f, []Expectation{e})[0]
+			if got.Value > last || float64(got.Cases) != choose(len(f.Nodes), n) {
+				t.Fatalf("%d gone: %v after %v, %d cases", n, got.Value, last, got.Cases)
+			}
+			last = got.Value
+		}
+		if last != 0 {
+			t.Fatalf("with all gone %v is reached", last)
+		}
+		m := newModel(f)
+		for c := range m.holders {
+			sum := 0.0
+			for i := range f.Volumes {
+				for _, x := range m.cellsOf(&f.Volumes[i]) {
+					if v := f.Volumes[i]; x == c {
+						sum += float64(v.Count) * f.Plans[v.Plan].Weight / m.weight[c]
+					}
+				}
+			}
+			if m.weight[c] > 0 && math.Abs(sum-1) > 1e-9 {
+				t.Fatalf("shares at cell %d add up to %v", c, sum)
+			}
+		}
+	})
+}
+
+// A full check of a large fleet: 200 nodes, 190 instances, 5,000 volumes, 50 expectations.
+func BenchmarkLargeFleet(b *testing.B) {
+	f := &Fleet{Instances: 190, ColdUnits: 400, MeanUnits: 2}
+	for i := range 5 {
+		f.Plans = append(f.Plans, Plan{Name: fmt.Sprint("plan-", i), Reserve: 1, Weight: float64(1 + i),
+			Limit: 9})
+	}
+	for i := range 200 {
+		f.Nodes = append(f.Nodes, Node{fmt.Sprint("box-", i), i, fmt.Sprint("hall-", i%5), 500})
+	}
+	for i := range 5000 {
+		f.Volumes = append(f.Volumes, Volume{Name: fmt.Sprint("volume-", i), Plan: i % 5, Writers: 1 + i%3,
+			Paths: 1 + i%3, Cells: []int{i % 200, (i * 7) % 200, (i * 13) % 200}})
+	}
+	var all []Expectation
+	one := &Gone{1, Selector{Nodes, "*"}}
+	for range 10 {
+		all = append(all, Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Gone: one},
+			Expectation{Measure: Reserve, Of: Selector{Nodes, "*"}, AtMost: true, Bound: 1, Gone: one},
+			Expectation{Measure: Share, Of: Selector{Volumes, "*"}, Gone: one},
+			Expectation{Measure: Limit, Of: Selector{Volumes, "*"}, AtMost: true, Bound: 1},
+			Expectation{Measure: Reserve, Of: Selector{Zones, "*"}, AtMost: true, Bound: 1,
+				Gone: &Gone{2, Selector{Zones, "*"}}})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Check(f, all)
+	}
+}
