landingpaddle expect: a fleet's file, its expectations, and a change blocked with rule and case

The checker needed a form that operators can write: claims with bounds, measures, selectors by name and what is gone at once, each fault with its place, names that match nothing and contradicting pairs as errors.

--- /dev/null
+++ b/examples/fleet.lisp
@@ -0,0 +1,15 @@
+; A fleet as planned, and what is expected of it: landingpaddle expect examples/fleet.lisp
+(fleet
+  (name "two halls") (instances 4)
+  (include "fleet-site.lisp")
+  (node box-a1 (cell 0) (zone hall-a) (capacity 400))
+  (node box-b1 (cell 1) (zone hall-b) (capacity 400))
+  (node spare-b (cell 0) (zone hall-b) (capacity 400))
+  (node spare-a (cell 1) (zone hall-a) (capacity 400))
+  (volume charts (plan standard) (count 10) (writers 2))
+  (volume archive (plan standard) (writers 1) (cells 1))
+  (expect "every volume stays in reach" (always (reachable (volume *))) (with 1 (zone *) gone))
+  (expect "reserves fit with a hall gone" (at-most 0.8 (reserve (node *))) (with 1 (zone *) gone))
+  (expect "charts keep their share" (at-least 0.05 (share (volume charts))) (with 1 (node *) gone))
+  (expect "limits add up" (at-most 1 (limit (volume *))))
+  (expect "a cold box bears one request of each instance" (at-most 1 (cold (node *)))))
