--- a/cmd/landingpaddle/expect.go
+++ b/cmd/landingpaddle/expect.go
@@ -11,6 +11,7 @@
 
 type expectCmd struct {
 	File           string `arg:"" type:"existingfile" help:"Fleet file with its (expect …) forms."`
+	Against        string `type:"existingfile" help:"The fleet as it was: tell what the change changes."`
 	JSON           bool   `help:"Print the findings as JSON."`
 	AllowUndecided bool   `help:"What can't be decided does not block."`
 }
@@ -50,6 +51,11 @@
 	if !c.AllowUndecided {
 		blocked += count[expect.Undecided]
 	}
+	if c.Against != "" && !c.JSON {
+		if err := c.against(out, findings); err != nil {
+			return err
+		}
+	}
 	if blocked > 0 {
 		return errBroken{fmt.Sprintf("%d broken, %d undecided of %d expectations", count[expect.Broken],
 			count[expect.Undecided], len(findings))}
@@ -57,6 +63,35 @@
 	return nil
 }
 
+// against tells which of these expectations stood otherwise with the fleet as it was before.
+func (c *expectCmd) against(out io.Writer, now []expect.Finding) error {
+	_, plan, all, err := config.LoadFleet(c.Against)
+	if err != nil {
+		return err
+	}
+	before := map[string]expect.Finding{}
+	for _, f := range expect.Check(plan, all) {
+		before[f.Expectation.Name] = f
+	}
+	for _, f := range now {
+		old, known := before[f.Expectation.Name]
+		delete(before, f.Expectation.Name)
+		switch {
+		case !known:
+			fmt.Fprintf(out, "  new        %s: %s\n", f.Expectation.Name, f.Verdict)
+		case old.Verdict != f.Verdict:
+			fmt.Fprintf(out, "  changed    %s: %s (%.3g) before, %s (%.3g) now\n", f.Expectation.Name,
+				old.Verdict, old.Value, f.Verdict, f.Value)
+		}
+	}
+	for _, f := range expect.Check(plan, all) {
+		if _, left := before[f.Expectation.Name]; left {
+			fmt.Fprintf(out, "  dropped    %s: %s before\n", f.Expectation.Name, f.Verdict)
+		}
+	}
+	return nil
+}
+
 func printFinding(out io.Writer, f expect.Finding) {
 	e := f.Expectation
 	if f.Verdict == expect.Undecided {
