One piece of code for what may have run, what may run again, and where an extent lies

The driver had written again which outcomes may have taken effect and which classes may repeat; both are methods of the module now, which it uses itself. Whether a call writes was worked out in four places: the front notes it once. A piece carries its cell from the cut, so no settings are built for each request; ranges are joined in one place; a flag that the members tell, two counters and fields that nobody read are gone.

--- a/control/control.go
+++ b/control/control.go
@@ -961,9 +961,12 @@
 	}
 }
 
+// Harmless tells whether a request that has run may run again anywhere: a refusal then stays true.
+func (c Class) Harmless() bool { return c.Repeat == Safe || (c.Repeat == Keyed && c.Group == GroupAll) }
+
 // giveUp ends a request: by a refusal where that is true, else by a failure.
 func (h *Host) giveUp(r *request, backoff time.Duration) {
-	if r.ranAt == nil || r.class.Repeat == Safe || (r.class.Repeat == Keyed && r.class.Group == GroupAll) {
+	if r.ranAt == nil || r.class.Harmless() {
 		if !h.set.RetryAfter {
 			backoff = 0
 		}
@@ -1055,14 +1058,13 @@
 	h.enqueue(r)
 }
 
+// MayHaveRun tells whether an attempt that ended so may have taken effect.
+func (c Code) MayHaveRun() bool { return c != Full && c != ConnectFailed && c != Moot }
+
 // settle notes what an outcome says of the request and its volume.
 func (h *Host) settle(r *request, n *node, o Outcome) {
-	switch o.Code {
-	case Full, ConnectFailed, Moot:
-	default:
-		if r.ranAt == nil {
-			r.ranAt, r.ranFrom = n, r.sentAt
-		}
+	if o.Code.MayHaveRun() && r.ranAt == nil {
+		r.ranAt, r.ranFrom = n, r.sentAt
 	}
 	if o.Code == TimedOut || o.Code == Reset || o.Code == Cancelled {
 		r.unsure = h.now
--- a/extent/extent.go
+++ b/extent/extent.go
@@ -52,6 +52,12 @@
 // Range is bytes of a volume, from Offset on.
 type Range struct{ Offset, Length uint64 }
 
+// with is the least range that covers both.
+func (r Range) with(o Range) Range {
+	from := min(r.Offset, o.Offset)
+	return Range{from, max(r.End(), o.End()) - from}
+}
+
 // End is the first byte after the range.
 func (r Range) End() uint64 { return r.Offset + r.Length }
 
@@ -78,12 +84,12 @@
 
 // Piece is the part of a request that lies within one extent and one operation's size.
 type Piece struct {
-	ID      uint32 // by which the scheduler's module knows it
-	Request uint64
-	Nth     int // of the request's pieces, by offset
-	Extent  uint64
-	Range   Range
-	Units   int // 0 where a request has fewer units than pieces
+	ID     uint32 // by which the scheduler's module knows it
+	Nth    int    // of the request's pieces, by offset
+	Extent uint64
+	Cell   int // where the extent lies
+	Range  Range
+	Units  int // 0 where a request has fewer units than pieces
 }
 
 // Split cuts a request into its pieces, by offset. Their ranges cover the request's without gap or overlap,
@@ -104,7 +110,8 @@
 		}
 		extent := at / s.Extent
 		length := min(q.Range.End()-at, s.Largest, s.Extent-at%s.Extent)
-		out = append(out, Piece{Request: q.ID, Nth: len(out), Extent: extent, Range: Range{at, length}})
+		out = append(out, Piece{Nth: len(out), Extent: extent, Cell: s.Cell(q.Data, extent),
+			Range: Range{at, length}})
 		at += length
 	}
 	share(out, q)
--- a/extent/joint_test.go
+++ b/extent/joint_test.go
@@ -83,7 +83,7 @@
 		a.parts, j.pieces[c.ID] = append(a.parts, p), p
 	}
 	for n, c := range cut {
-		j.host.Handle(j.now, control.Request{ID: c.ID, Class: class, Cell: j.set.Cell(1, c.Extent),
+		j.host.Handle(j.now, control.Request{ID: c.ID, Class: class, Cell: c.Cell,
 			Key: a.key, Write: q.Write, Writers: 1, Volume: a.id % 3, Units: float64(c.Units),
 			Expires: a.expires, Further: n > 0})
 	}
--- a/extent/planner.go
+++ b/extent/planner.go
@@ -25,9 +25,8 @@
 
 // Stats count what the planner decided.
 type Stats struct {
-	Whole      uint64 // requests taken
-	Split      uint64 // of them, such as were cut
-	Pieces     uint64 // that they became
+	Split      uint64 // requests that were cut
+	Pieces     uint64 // that all requests became
 	Operations uint64 // that left, repeats included
 	Merged     uint64 // of them, such of two members or more
 	Members    uint64 // pieces that left in merged ones
@@ -99,7 +98,6 @@
 	}
 	w := &whole{Request: q, left: len(cut)}
 	p.wholes[q.ID] = w
-	p.Stats.Whole++
 	p.Stats.Pieces += uint64(len(cut))
 	if len(cut) > 1 {
 		p.Stats.Split++
@@ -140,8 +138,7 @@
 		if p.apart(x, lead) || !op.touches(x.Range, x.whole.Write) {
 			return true
 		}
-		from := min(op.Range.Offset, x.Range.Offset)
-		all := Range{from, max(op.Range.End(), x.Range.End()) - from}
+		all := op.Range.with(x.Range)
 		if all.Length > p.set.Largest {
 			return true
 		}
@@ -219,8 +216,7 @@
 		if len(op.Members) == 0 {
 			op.Range = x.Range
 		}
-		from := min(op.Range.Offset, x.Range.Offset)
-		op.Range = Range{from, max(op.Range.End(), x.Range.End()) - from}
+		op.Range = op.Range.with(x.Range)
 		op.Data, op.Extent, op.Write = x.whole.Data, x.Extent, x.whole.Write
 		size = size.with(x.Piece, op.Range)
 		op.Members = append(op.Members, x.Piece)
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -18,6 +18,7 @@
 	stream  uint64
 	req     proto.Request
 	payload []byte
+	write   bool          // by itself or by its class
 	at      time.Duration // when it was read
 
 	// The rest is the loop's.
@@ -134,7 +135,7 @@
 		f.i.log.Debug("refused", "reason", reason, "token", k.req.Token)
 		return c.conn.Post(proto.TypeAnswer, fr.Stream, a, nil)
 	}
-	if why := f.bad(&k.req, len(k.payload)); why != "" {
+	if why := f.bad(k); why != "" {
 		return refuse(why, 0)
 	}
 	// Counted first, then looked whether the instance stops: the loop ends only when it sees none counted.
@@ -155,23 +156,27 @@
 	return nil
 }
 
-// bad bounds what a client states; "" is good. How a range is cut, and whether that goes, the planner says.
-func (f *front) bad(q *proto.Request, payload int) string {
-	site := &f.i.cfg.Site
+// bad bounds what a client states, and notes whether it writes; "" is good. How a range is cut, and whether
+// that goes, the planner says.
+func (f *front) bad(k *call) string {
+	q, site := &k.req, &f.i.cfg.Site
 	if int(q.Class) >= len(site.Classes) || int(q.Plan) >= len(site.Plans) || q.Units == 0 ||
 		float64(q.Units) > site.MostUnits || q.Wait <= 0 || q.Wait > time.Hour ||
 		q.Cell < control.NewObject || q.Cell > 1<<16-1 {
 		return ReasonBad
 	}
+	k.write = q.Write || site.Classes[q.Class].Writes
 	if !q.Ranged {
 		return ""
 	}
 	if site.Extents == nil {
 		return ReasonBad
 	}
-	write := q.Write || site.Classes[q.Class].Writes
-	if uint64(q.Length) > uint64(site.Limits.Payload) || write && payload != int(q.Length) ||
-		!write && payload != 0 {
+	payload := 0
+	if k.write {
+		payload = int(q.Length)
+	}
+	if uint64(q.Length) > uint64(site.Limits.Payload) || len(k.payload) != payload {
 		return ReasonRange
 	}
 	return ""
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -37,7 +37,6 @@
 type request struct {
 	call    *call
 	piece   extent.Piece // of a ranged call
-	cell    int          // where it lies
 	id      uint32
 	expires time.Duration
 	sends   int
@@ -64,6 +63,7 @@
 type loop struct {
 	i       *Instance
 	host    Decider
+	set     control.Settings
 	plan    *extent.Planner // nil: no ranged requests
 	view    *roster.Roster
 	pool    *pool
@@ -85,8 +85,8 @@
 func newLoop(ctx context.Context, g *errgroup.Group, i *Instance) *loop {
 	set := i.cfg.Site.Control(i.cfg.Number, i.cfg.Of, i.cfg.Zone, i.link != nil)
 	module := control.New(i.cfg.Seed, set)
-	l := &loop{i: i, host: module, view: roster.New(i.cfg.Site.Limits.ClockSkew), pool: newPool(ctx, g, i),
-		reqs: map[uint32]*request{}}
+	l := &loop{i: i, host: module, set: set, view: roster.New(i.cfg.Site.Limits.ClockSkew),
+		pool: newPool(ctx, g, i), reqs: map[uint32]*request{}}
 	if e := i.cfg.Site.Extents; e != nil {
 		l.plan = extent.New(e.Planner())
 		module.Accompany(l.plan)
@@ -264,10 +264,9 @@
 	q := &k.req
 	expires := k.at + q.Wait - l.i.cfg.Site.Limits.Transit
 	k.overdue = l.timers.set(expires+l.i.cfg.Site.Rules.AnswerSlack, func() { l.overdue(k) })
-	class := l.i.cfg.Site.Classes[q.Class]
-	ask := control.Request{Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0,
-		Write: q.Write || class.Writes, Writers: int(q.Writers), Plan: int(q.Plan), Key: q.Key,
-		Expires: expires, Volume: q.Volume, Units: float64(q.Units)}
+	ask := control.Request{Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0, Write: k.write,
+		Writers: int(q.Writers), Plan: int(q.Plan), Key: q.Key, Expires: expires, Volume: q.Volume,
+		Units: float64(q.Units)}
 	if !q.Ranged {
 		r := &request{call: k, id: l.id(), expires: expires}
 		l.reqs[r.id], k.reqs = r, []*request{r}
@@ -276,22 +275,19 @@
 		return
 	}
 	l.wholes++
-	repeat := control.Repeat(class.Repeat)
 	pieces, err := l.plan.Take(extent.Request{ID: l.wholes, Data: q.Of(),
 		Range: extent.Range{Offset: q.Offset, Length: uint64(q.Length)}, Write: ask.Write, Class: ask.Class,
-		Plan: ask.Plan, Units: int(q.Units), At: k.at, Harmless: repeat == control.Safe ||
-			repeat == control.Keyed && control.Group(class.Group) == control.GroupAll}, l.id)
+		Plan: ask.Plan, Units: int(q.Units), At: k.at, Harmless: l.set.Classes[q.Class].Harmless()}, l.id)
 	if err != nil {
 		l.i.log.Debug("range refused", "token", q.Token, "error", err)
 		l.finish(k, proto.Answer{Code: proto.Refused, Reason: ReasonRange}, nil)
 		return
 	}
 	k.id = l.wholes
-	set := l.i.cfg.Site.Extents.Planner()
 	for n, p := range pieces {
-		r := &request{call: k, piece: p, cell: set.Cell(q.Of(), p.Extent), id: p.ID, expires: expires}
+		r := &request{call: k, piece: p, id: p.ID, expires: expires}
 		l.reqs[r.id], k.reqs = r, append(k.reqs, r)
-		ask.ID, ask.Cell, ask.Units, ask.Further = p.ID, r.cell, float64(p.Units), n > 0
+		ask.ID, ask.Cell, ask.Units, ask.Further = p.ID, p.Cell, float64(p.Units), n > 0
 		l.tell(ask)
 	}
 }
@@ -327,7 +323,7 @@
 	if k.id != 0 {
 		var ends *extent.Answer
 		if ends, withdraw = l.plan.Drop(k.id); ends != nil {
-			a.Done, a.Unsure, a.Unsent = uint16(ends.Done), uint16(ends.Unsure), uint16(ends.Unsent)
+			tellPieces(&a, ends)
 		}
 	} else {
 		withdraw = []uint32{k.reqs[0].id}
@@ -336,6 +332,11 @@
 	l.withdraw(withdraw)
 }
 
+// tellPieces puts into an answer what is known of a request's pieces.
+func tellPieces(a *proto.Answer, ends *extent.Answer) {
+	a.Done, a.Unsure, a.Unsent = uint16(ends.Done), uint16(ends.Unsure), uint16(ends.Unsent)
+}
+
 // withdraw tells the module that nothing is owed for requests any more.
 func (l *loop) withdraw(ids []uint32) {
 	for _, id := range ids {
@@ -364,7 +365,7 @@
 	}
 	if a.Code != proto.OK {
 		l.i.log.Debug(codeWord(a.Code), "reason", a.Reason, "token", k.req.Token, "advice", a.Advice)
-		if a.Done > 0 {
+		if a.Done > 0 && k.write {
 			l.partial(k)
 		}
 	}
@@ -374,9 +375,6 @@
 
 // partial logs what of a failed write is where: nobody else can tell.
 func (l *loop) partial(k *call) {
-	if !k.req.Write && !l.i.cfg.Site.Classes[k.req.Class].Writes {
-		return
-	}
 	for _, r := range k.reqs {
 		state := "unsent"
 		switch {
@@ -411,7 +409,7 @@
 	}
 	ends, withdraw := l.plan.Over(r.id, verdict, payload)
 	if ends != nil {
-		a.Done, a.Unsure, a.Unsent = uint16(ends.Done), uint16(ends.Unsure), uint16(ends.Unsent)
+		tellPieces(&a, ends)
 		a.Bad = nil
 		if ends.Verdict == extent.Failed {
 			a.Code, a.Advice = proto.Failed, 0
@@ -473,9 +471,8 @@
 	r.out = slices.DeleteFunc(r.out, func(o *attempt) bool { return o == a })
 	r.why = reasonOf(code)
 	if k := r.call; k.id != 0 {
-		ran := code != control.Full && code != control.ConnectFailed && code != control.Moot
-		l.plan.Ended(r.id, ran)
-		if k.done && ran && (k.req.Write || l.i.cfg.Site.Classes[k.req.Class].Writes) {
+		l.plan.Ended(r.id, code.MayHaveRun())
+		if k.done && k.write && code.MayHaveRun() {
 			at := r.piece.Range
 			l.i.log.Info("piece of an answered write ended", "token", k.req.Token, "data", k.req.Of(),
 				"offset", at.Offset, "length", at.Length, "node", addrText(a.server), "code", code)
@@ -581,7 +578,7 @@
 		a.op = l.leaving[n-1]
 		a.op.members = append(a.op.members, a)
 	} else {
-		a.op = &operation{server: x.Server, members: []*attempt{a}}
+		a.op = alone(a)
 		l.leaving = append(l.leaving, a.op)
 	}
 	a.timeout = l.timers.set(a.deadline, func() { l.giveUp(a, control.TimedOut) })
@@ -612,7 +609,7 @@
 		case a.over:
 		case a.req.done || a.deadline <= l.now:
 			l.i.Stats.Moot.Add(1)
-			l.i.in.put(result{op: &operation{server: op.server, members: []*attempt{a}}, code: control.Moot})
+			l.i.in.put(result{op: alone(a), code: control.Moot})
 		default:
 			keep = append(keep, a)
 		}
@@ -624,15 +621,14 @@
 	var out []*operation
 	keys := map[uint64]bool{}
 	for _, a := range keep {
-		if q := &a.req.call.req; q.Key != 0 && l.i.cfg.Site.Classes[q.Class].InOrder {
+		if q := &a.req.call.req; q.Key != 0 && l.set.Classes[q.Class].InOrder {
 			if keys[q.Key] {
-				l.i.in.put(result{op: &operation{server: op.server, members: []*attempt{a}},
-					code: control.ConnectFailed})
+				l.i.in.put(result{op: alone(a), code: control.ConnectFailed})
 				continue
 			}
 			keys[q.Key] = true
 		}
-		a.op = &operation{server: op.server, members: []*attempt{a}}
+		a.op = alone(a)
 		a.op.seal(l)
 		out = append(out, a.op)
 	}
--- a/internal/sched/operation.go
+++ b/internal/sched/operation.go
@@ -12,21 +12,22 @@
 // several that the module let leave together.
 type operation struct {
 	server  control.Server
-	members []*attempt // the lead first
-	sealed  bool       // plan is set, where it has one
-	plan    extent.Operation
-	conn    *nodeConn // where it is in flight; nil: waits for a connection
+	members []*attempt       // the lead first
+	plan    extent.Operation // of a ranged one, once it is sealed
+	conn    *nodeConn        // where it is in flight; nil: waits for a connection
 	stream  uint64
 }
 
+// alone is an operation of one attempt.
+func alone(a *attempt) *operation { return &operation{server: a.server, members: []*attempt{a}} }
+
 func (o *operation) ranged() bool { return o.members[0].req.call.id != 0 }
 
 // seal fixes what the operation covers, once it is known who is part of it.
 func (o *operation) seal(l *loop) {
-	if o.sealed || !o.ranged() {
+	if !o.ranged() || len(o.plan.Members) > 0 {
 		return
 	}
-	o.sealed = true
 	ids := make([]uint32, len(o.members))
 	for i, a := range o.members {
 		ids[i] = a.req.id
@@ -43,11 +44,10 @@
 	if !o.ranged() {
 		return req, lead.req.call.payload, 0
 	}
-	req.Cell = int32(lead.req.cell)
+	req.Cell = int32(lead.req.piece.Cell)
 	req.Offset, req.Length, req.Units = o.plan.Range.Offset, uint32(o.plan.Range.Length), uint32(o.plan.Units)
 	req.Data, req.Write, req.Piece = o.plan.Data, o.plan.Write, uint16(lead.req.piece.Nth)
 	if len(o.members) == 1 {
-		req.Units = uint32(max(1, lead.req.piece.Units))
 		return req, lead.bytes(), 0
 	}
 	if req.Write {
