--- a/cmd/landingpaddle/day.go
+++ b/cmd/landingpaddle/day.go
@@ -46,6 +46,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Unmerged {
+		if err := merges(&day); err != nil {
+			return err
+		}
+	}
 	played, err := c.play(&day, sched.Hooks{})
 	if err != nil {
 		return err
@@ -58,28 +63,37 @@
 	r := dayResult{Day: day.Name, Seed: c.Seed, Verdicts: lab.Audit(&day.Site, played.Events),
 		Worth: lab.WorthOf(&day.Site, played), NotAsked: played.NotAsked}
 	if c.Baseline {
-		base, err := c.play(&day, lab.Baseline(nil))
-		if err != nil {
+		if r.Baseline, err = c.again(&day, lab.Baseline(nil)); err != nil {
 			return err
 		}
-		worth := lab.WorthOf(&day.Site, base)
-		r.Baseline = &worth
 	}
 	if c.Unmerged {
-		if day.Site.Extents == nil {
-			return fmt.Errorf("%s: the site has no (extents …), nothing is merged", day.Name)
-		}
 		day.Site.Extents.Alone = true
-		again, err := c.play(&day, sched.Hooks{})
-		if err != nil {
+		if r.Unmerged, err = c.again(&day, sched.Hooks{}); err != nil {
 			return err
 		}
-		worth := lab.WorthOf(&day.Site, again)
-		r.Unmerged = &worth
 	}
 	return r.print(out, c.JSON)
 }
 
+// again plays a day once more for what is compared with it.
+func (c *dayCmd) again(day *lab.Day, hooks sched.Hooks) (*lab.Worth, error) {
+	played, err := c.play(day, hooks)
+	if err != nil {
+		return nil, err
+	}
+	worth := lab.WorthOf(&day.Site, played)
+	return &worth, nil
+}
+
+// merges is an error where a day's site merges nothing, so that there is nothing to compare.
+func merges(day *lab.Day) error {
+	if day.Site.Extents == nil {
+		return fmt.Errorf("%s: the site has no (extents …), nothing is merged", day.Name)
+	}
+	return nil
+}
+
 func (c *dayCmd) play(day *lab.Day, hooks sched.Hooks) (*lab.Played, error) {
 	dir, err := os.MkdirTemp("", "landingpaddle-day-*")
 	if err != nil {
@@ -116,9 +130,7 @@
 		}
 	}
 	if asJSON {
-		enc := json.NewEncoder(out)
-		enc.SetIndent("", "  ")
-		if err := enc.Encode(r); err != nil {
+		if err := printJSON(out, r); err != nil {
 			return err
 		}
 	} else {
@@ -138,6 +150,12 @@
 	return nil
 }
 
+func printJSON(out io.Writer, v any) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
 func printVerdicts(out io.Writer, verdicts []lab.Verdict) {
 	for _, v := range verdicts {
 		word := "kept"
--- a/cmd/landingpaddle/expect.go
+++ b/cmd/landingpaddle/expect.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 
@@ -29,15 +28,13 @@
 		return errBroken{fmt.Sprintf("%s: %q and %q at %s can't both hold", pair[1].Place, pair[1].Name,
 			pair[0].Name, pair[0].Place)}
 	}
-	findings := expect.Check(plan, all)
+	findings := plan.Check(all)
 	count := map[expect.Verdict]int{}
 	for _, f := range findings {
 		count[f.Verdict]++
 	}
 	if c.JSON {
-		enc := json.NewEncoder(out)
-		enc.SetIndent("", "  ")
-		if err := enc.Encode(findings); err != nil {
+		if err := printJSON(out, findings); err != nil {
 			return err
 		}
 	} else {
@@ -69,8 +66,8 @@
 	if err != nil {
 		return err
 	}
-	before := map[string]expect.Finding{}
-	for _, f := range expect.Check(plan, all) {
+	then, before := plan.Check(all), map[string]expect.Finding{}
+	for _, f := range then {
 		before[f.Expectation.Name] = f
 	}
 	for _, f := range now {
@@ -84,7 +81,7 @@
 				old.Verdict, old.Value, f.Verdict, f.Value)
 		}
 	}
-	for _, f := range expect.Check(plan, all) {
+	for _, f := range then {
 		if _, left := before[f.Expectation.Name]; left {
 			fmt.Fprintf(out, "  dropped    %s: %s before\n", f.Expectation.Name, f.Verdict)
 		}
--- a/cmd/landingpaddle/sweep.go
+++ b/cmd/landingpaddle/sweep.go
@@ -62,8 +62,8 @@
 		if err != nil {
 			return err
 		}
-		if day.Site.Extents == nil {
-			return fmt.Errorf("%s: the site has no (extents …), nothing is merged", day.Name)
+		if err := merges(&day); err != nil {
+			return err
 		}
 		if err := c.set(day.Site.Extents, value); err != nil {
 			return err
@@ -80,9 +80,8 @@
 			}
 		}
 		w := lab.WorthOf(&day.Site, played)
-		served := w.InTime + w.Late
-		fmt.Fprintf(out, "%-10s %8.3f %8d %8d %12.2f %8.0f %8.0f\n", value, w.Share, served, w.Ops,
-			float64(w.Ops)/float64(max(1, served)), w.P50, w.P99)
+		fmt.Fprintf(out, "%-10s %8.3f %8d %8d %12.2f %8.0f %8.0f\n", value, w.Share, w.Served(), w.Ops,
+			w.OpsEach(), w.P50, w.P99)
 		all = append(all, swept{value, w})
 	}
 	if c.SVG == "" {
@@ -103,7 +102,7 @@
 	for i, s := range all {
 		names = append(names, s.value)
 		worth[i] = plotter.XY{X: float64(i), Y: s.Share}
-		ops[i] = plotter.XY{X: float64(i), Y: float64(s.Ops) / float64(max(1, s.InTime+s.Late))}
+		ops[i] = plotter.XY{X: float64(i), Y: s.OpsEach()}
 	}
 	if err := plotutil.AddLinePoints(p, "worth served, of what was asked", worth,
 		"operations for each request served", ops); err != nil {
--- a/expect/expect.go
+++ b/expect/expect.go
@@ -124,8 +124,7 @@
 const mostCases = 100_000
 
 // Check looks at all expectations, in their order.
-func Check(f *Fleet, all []Expectation) []Finding {
-	m := newModel(f)
+func (m *Model) Check(all []Expectation) []Finding {
 	out := make([]Finding, 0, len(all))
 	for _, e := range all {
 		out = append(out, m.check(e))
@@ -134,8 +133,7 @@
 }
 
 // Empty tells whether a selector picks nothing: a name that matches nothing is a mistake.
-func Empty(f *Fleet, s Selector) bool {
-	m := newModel(f)
+func (m *Model) Empty(s Selector) bool {
 	switch s.Kind {
 	case Nodes:
 		return len(m.nodes(s)) == 0
@@ -145,8 +143,8 @@
 	return len(m.volumes(s)) == 0
 }
 
-// model is a fleet prepared for many cases.
-type model struct {
+// Model is a fleet prepared for many questions. It is not safe for use by several goroutines.
+type Model struct {
 	*Fleet
 	cells   []int            // all, in order
 	holders map[int][]int    // nodes by cell, in order
@@ -157,8 +155,9 @@
 	zoned   []string         // zones, in order
 }
 
-func newModel(f *Fleet) *model {
-	m := &model{Fleet: f, holders: map[int][]int{}, reserve: map[int]float64{}, weight: map[int]float64{},
+// New prepares a fleet, which must not change afterwards.
+func New(f *Fleet) *Model {
+	m := &Model{Fleet: f, holders: map[int][]int{}, reserve: map[int]float64{}, weight: map[int]float64{},
 		all: map[string][]int{}, byZone: map[string][]int{}}
 	for i, n := range f.Nodes {
 		m.holders[n.Cell] = append(m.holders[n.Cell], i)
@@ -182,7 +181,7 @@
 	return m
 }
 
-func (m *model) cellsOf(v *Volume) []int {
+func (m *Model) cellsOf(v *Volume) []int {
 	if len(v.Cells) == 0 {
 		return m.cells
 	}
@@ -194,7 +193,7 @@
 	return err == nil && ok
 }
 
-func (m *model) nodes(s Selector) (out []int) {
+func (m *Model) nodes(s Selector) (out []int) {
 	for i, n := range m.Nodes {
 		if matches(s.Name, n.Name) {
 			out = append(out, i)
@@ -203,7 +202,7 @@
 	return out
 }
 
-func (m *model) zones(s Selector) (out []string) {
+func (m *Model) zones(s Selector) (out []string) {
 	for _, z := range m.zoned {
 		if matches(s.Name, z) {
 			out = append(out, z)
@@ -214,7 +213,7 @@
 
 // volumes are those that a selector picks, by their own names or by their plans', one for all that differ in
 // nothing but their names: thousands of volumes are mostly of few kinds.
-func (m *model) volumes(s Selector) []int {
+func (m *Model) volumes(s Selector) []int {
 	key := s.String()
 	if out, ok := m.all[key]; ok {
 		return out
@@ -226,8 +225,10 @@
 		if s.Kind == Plans {
 			name = m.Plans[v.Plan].Name
 		}
-		kind := fmt.Sprint(v.Plan, v.Writers, v.Paths, v.Cells)
-		if matches(s.Name, name) && !seen[kind] {
+		if !matches(s.Name, name) {
+			continue
+		}
+		if kind := fmt.Sprint(v.Plan, v.Writers, v.Paths, v.Cells); !seen[kind] {
 			seen[kind] = true
 			out = append(out, i)
 		}
@@ -237,7 +238,7 @@
 }
 
 // check looks at every case of one expectation and keeps the worst.
-func (m *model) check(e Expectation) Finding {
+func (m *Model) check(e Expectation) Finding {
 	out := Finding{Expectation: e, Verdict: Holds, Value: math.Inf(1)}
 	if e.AtMost {
 		out.Value = math.Inf(-1)
@@ -267,13 +268,13 @@
 			}
 		}
 		out.Cases++
-		m.measure(e, down, func(thing string, value float64) {
+		m.measure(e, down, func(kind Kind, name string, value float64) {
 			worse := value < out.Value
 			if e.AtMost {
 				worse = value > out.Value
 			}
 			if worse {
-				out.Value, out.Thing = value, thing
+				out.Value, out.Thing = value, string(kind)+" "+name
 				var gone []string
 				for _, g := range chosen {
 					gone = append(gone, names[g])
@@ -294,7 +295,7 @@
 }
 
 // groups are what may be gone: nodes one by one, or the nodes of a zone together.
-func (m *model) groups(g *Gone) (groups [][]int, names []string) {
+func (m *Model) groups(g *Gone) (groups [][]int, names []string) {
 	if g == nil {
 		return nil, nil
 	}
@@ -337,7 +338,7 @@
 }
 
 // holder is the node that holds a cell while some are down; -1: none.
-func (m *model) holder(cell int, down []bool) int {
+func (m *Model) holder(cell int, down []bool) int {
 	for _, n := range m.holders[cell] {
 		if !down[n] {
 			return n
@@ -347,7 +348,7 @@
 }
 
 // measure tells the value of an expectation's measure for each thing that it is about, in one case.
-func (m *model) measure(e Expectation, down []bool, tell func(thing string, value float64)) {
+func (m *Model) measure(e Expectation, down []bool, tell func(kind Kind, name string, value float64)) {
 	switch e.Measure {
 	case Reserve:
 		m.reserves(e.Of, down, tell)
@@ -363,7 +364,7 @@
 					n++
 				}
 			}
-			tell("volume "+m.Volumes[v].Name, part(float64(n), float64(len(cells))))
+			tell(Volumes, m.Volumes[v].Name, part(float64(n), float64(len(cells))))
 		}
 	case Share:
 		for _, v := range m.volumes(e.Of) {
@@ -377,11 +378,11 @@
 			}
 			switch {
 			case e.AtMost:
-				tell("volume "+vol.Name, most)
+				tell(Volumes, vol.Name, most)
 			case !math.IsInf(least, 1):
-				tell("volume "+vol.Name, least)
+				tell(Volumes, vol.Name, least)
 			default:
-				tell("volume "+vol.Name, 0) // no node holds anything of it
+				tell(Volumes, vol.Name, 0) // no node holds anything of it
 			}
 		}
 	case Limit:
@@ -389,20 +390,20 @@
 			vol := &m.Volumes[v]
 			if m.Plans[vol.Plan].Limit > 0 {
 				// Each instance grants the limit's even part of the writers that requests tell of.
-				tell("volume "+vol.Name, float64(max(1, vol.Paths))/float64(max(1, vol.Writers)))
+				tell(Volumes, vol.Name, float64(max(1, vol.Paths))/float64(max(1, vol.Writers)))
 			}
 		}
 	case Cold:
 		for _, n := range m.nodes(e.Of) {
 			if !down[n] {
-				tell("node "+m.Nodes[n].Name, part(m.MeanUnits*float64(max(1, m.Instances)), m.ColdUnits))
+				tell(Nodes, m.Nodes[n].Name, part(m.MeanUnits*float64(max(1, m.Instances)), m.ColdUnits))
 			}
 		}
 	}
 }
 
 // reserves adds up what lies on each node, or in each zone, that is up.
-func (m *model) reserves(of Selector, down []bool, tell func(string, float64)) {
+func (m *Model) reserves(of Selector, down []bool, tell func(Kind, string, float64)) {
 	load := make([]float64, len(m.Nodes))
 	for _, c := range m.cells {
 		if n := m.holder(c, down); n >= 0 {
@@ -412,7 +413,7 @@
 	if of.Kind == Nodes {
 		for _, n := range m.nodes(of) {
 			if !down[n] {
-				tell("node "+m.Nodes[n].Name, part(load[n], m.Nodes[n].Capacity))
+				tell(Nodes, m.Nodes[n].Name, part(load[n], m.Nodes[n].Capacity))
 			}
 		}
 		return
@@ -425,7 +426,7 @@
 			}
 		}
 		if capacity > 0 {
-			tell("zone "+z, part(sum, capacity))
+			tell(Zones, z, part(sum, capacity))
 		}
 	}
 }
--- a/expect/expect_test.go
+++ b/expect/expect_test.go
@@ -58,7 +58,7 @@
 		{Expectation{Measure: Limit, Of: Selector{Volumes, "model"}, AtMost: true, Bound: 1},
 			"undecided 0.00  of 1"},
 	} {
-		f := Check(hall(), []Expectation{c.e})[0]
+		f := New(hall()).Check([]Expectation{c.e})[0]
 		if got := fmt.Sprintf("%s %.2f %s of %d", f.Verdict, f.Value, f.Case, f.Cases); got != c.want {
 			t.Errorf("%s %v: %s; want %s", c.e.Measure, c.e.Of, got, c.want)
 		}
@@ -73,11 +73,11 @@
 	f := hall()
 	e := Expectation{Measure: Reserve, Of: Selector{Nodes, "b-spare"}, AtMost: true, Bound: 0.2,
 		Gone: &Gone{1, Selector{Nodes, "*"}}}
-	if got := Check(f, []Expectation{e})[0]; got.Verdict != Broken || got.Case != "node a-1" {
+	if got := New(f).Check([]Expectation{e})[0]; got.Verdict != Broken || got.Case != "node a-1" {
 		t.Errorf("got %+v", got)
 	}
 	e.Gone = nil
-	if got := Check(f, []Expectation{e})[0]; got.Verdict != Holds {
+	if got := New(f).Check([]Expectation{e})[0]; got.Verdict != Holds {
 		t.Errorf("with all up: %+v", got)
 	}
 }
@@ -89,7 +89,7 @@
 		f.Nodes = append(f.Nodes, Node{Name: fmt.Sprintf("n-%d", i), Cell: i, Capacity: 1})
 	}
 	e := Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Gone: &Gone{4, Selector{Nodes, "*"}}}
-	got := Check(f, []Expectation{e})[0]
+	got := New(f).Check([]Expectation{e})[0]
 	if got.Verdict != Undecided || got.Cases != 0 || !strings.Contains(got.Why, "6.47e+07 cases") {
 		t.Errorf("got %+v", got)
 	}
@@ -130,7 +130,7 @@
 		last := math.Inf(1)
 		for n := range len(f.Nodes) + 1 {
 			e := Expectation{Measure: Reach, Of: Selector{Volumes, "*"}, Gone: &Gone{n, Selector{Nodes, "*"}}}
-			got := Check(f, []Expectation{e})[0]
+			got := New(f).Check([]Expectation{e})[0]
 			if got.Value > last || float64(got.Cases) != choose(len(f.Nodes), n) {
 				t.Fatalf("%d gone: %v after %v, %d cases", n, got.Value, last, got.Cases)
 			}
@@ -139,7 +139,7 @@
 		if last != 0 {
 			t.Fatalf("with all gone %v is reached", last)
 		}
-		m := newModel(f)
+		m := New(f)
 		for c := range m.holders {
 			sum := 0.0
 			for i := range f.Volumes {
@@ -182,6 +182,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		Check(f, all)
+		New(f).Check(all)
 	}
 }
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -40,7 +40,7 @@
 
 // LoadFleet reads a fleet and its expectations. Each (expect …) is checked against the fleet: a name that
 // matches nothing is an error with its place.
-func LoadFleet(file string) (Fleet, *expect.Fleet, []expect.Expectation, error) {
+func LoadFleet(file string) (Fleet, *expect.Model, []expect.Expectation, error) {
 	f := Fleet{Site: DefaultSite()}
 	nodes, err := sexpr.ReadTree(file)
 	if err != nil {
@@ -80,7 +80,7 @@
 }
 
 // plan turns a fleet's file into what the checker takes.
-func (f *Fleet) plan() (*expect.Fleet, error) {
+func (f *Fleet) plan() (*expect.Model, error) {
 	out := &expect.Fleet{Instances: f.Instances, ColdUnits: f.Site.Rules.ColdUnits,
 		MeanUnits: f.Site.MeanUnits}
 	for _, p := range f.Site.Plans {
@@ -125,14 +125,14 @@
 		out.Volumes = append(out.Volumes, expect.Volume{Name: v.Name, Plan: number, Count: max(1, v.Count),
 			Writers: writers, Paths: paths, Cells: v.Cells})
 	}
-	return out, nil
+	return expect.New(out), nil
 }
 
 const expectForm = `want (expect "name" CLAIM) or (expect "name" CLAIM (with 1 (node *) gone)), ` +
 	`CLAIM one of (at-most 0.8 (MEASURE OF)), (at-least …), (always (reachable OF)), (never (send OF))`
 
 // expectation reads one (expect …).
-func expectation(f *expect.Fleet, n *sexpr.Node) (e expect.Expectation, err error) {
+func expectation(f *expect.Model, n *sexpr.Node) (e expect.Expectation, err error) {
 	if len(n.List) < 3 || len(n.List) > 4 || n.List[1].IsList() || n.List[1].Text == "" {
 		return e, sexpr.Errorf(n.Pos, "%s", expectForm)
 	}
@@ -182,7 +182,7 @@
 }
 
 // selector reads what a claim is about; it must pick something.
-func selector(f *expect.Fleet, n *sexpr.Node, kinds []expect.Kind) (s expect.Selector, err error) {
+func selector(f *expect.Model, n *sexpr.Node, kinds []expect.Kind) (s expect.Selector, err error) {
 	if len(n.List) != 2 || n.List[1].IsList() || !slices.Contains(kinds, expect.Kind(n.Head())) {
 		return s, sexpr.Errorf(n.Pos, "found %v; want one of %v with a name, as (%s *)", n, kinds, kinds[0])
 	}
@@ -190,7 +190,7 @@
 	if _, err := path.Match(s.Name, ""); err != nil {
 		return s, sexpr.Errorf(n.List[1].Pos, "%q is no pattern: %v", s.Name, err)
 	}
-	if expect.Empty(f, s) {
+	if f.Empty(s) {
 		return s, sexpr.Errorf(n.Pos, "%v matches nothing", s)
 	}
 	return s, nil
--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -616,6 +616,12 @@
 	Wasted  int     `json:"wasted"` // of them such that served no answer
 }
 
+// Served is how many operations were served, in time or late.
+func (w *Worth) Served() int { return w.InTime + w.Late }
+
+// OpsEach is how many operations the nodes did for each that was served.
+func (w *Worth) OpsEach() float64 { return float64(w.Ops) / float64(max(1, w.Served())) }
+
 // WorthOf adds up what was served, by the clients' logs: full worth within a class's aim from the first try
 // on, its late share after that, in units and by plan.
 func WorthOf(site *config.Site, p *Played) Worth {
--- a/internal/lab/disk.go
+++ b/internal/lab/disk.go
@@ -18,8 +18,7 @@
 // what a client got can be compared with what several nodes gave.
 func sumOf(at uint64, data []byte) (sum uint64) {
 	for i, b := range data {
-		x := ((at+uint64(i))<<8 | uint64(b)) * 0xff51afd7ed558ccd
-		sum += x ^ x>>29
+		sum += sumByte(at+uint64(i), b)
 	}
 	return sum
 }
@@ -27,12 +26,16 @@
 // patternSum is sumOf a range that was never written.
 func patternSum(volume, at, length uint64) (sum uint64) {
 	for i := range length {
-		x := ((at+i)<<8 | uint64(pattern(volume, at+i))) * 0xff51afd7ed558ccd
-		sum += x ^ x>>29
+		sum += sumByte(at+i, pattern(volume, at+i))
 	}
 	return sum
 }
 
+func sumByte(at uint64, b byte) uint64 {
+	x := (at<<8 | uint64(b)) * 0xff51afd7ed558ccd
+	return x ^ x>>29
+}
+
 const diskBlock = 4 << 10
 
 // disk holds the bytes that were written to a node's machine; it outlasts its processes.
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -388,14 +388,14 @@
 		l.mu.Lock()
 		o := l.conns[c][f.Stream]
 		l.mu.Unlock()
-		var c proto.Cancel
+		var off proto.Cancel
 		if len(f.Header) > 0 {
-			if err := f.Decode(&c); err != nil {
+			if err := f.Decode(&off); err != nil {
 				return err
 			}
 		}
 		if o != nil {
-			l.callSome(o, c.Members)
+			l.callSome(o, off.Members)
 		}
 	case proto.TypeProbe:
 		return c.Post(proto.TypeProbed, f.Stream, proto.Answer{Code: proto.OK, Load: l.load()}, nil)
