Slots of a slow node fall earlier for classes whose units earn less

Host.bound shared slots by latency alone. Dropped as causes: the pace as such (looser: worse), order within a host (3% of requests are held with others).

--- a/control/control.go
+++ b/control/control.go
@@ -189,37 +189,38 @@
 
 // Host is one scheduler.
 type Host struct {
-	set      Settings
-	rng      *rand.Rand
-	now      time.Duration
-	born     time.Duration
-	alive    bool
-	acts     []Action
-	classes  []*class
-	reqs     map[uint32]*request
-	nodes    map[Server]*node
-	shards   []*shard // by cell
-	busy     []*shard // those with a queue, by cell
-	turn     []*shard // the same, as a batch ends
-	vols     map[uint64]*volume
-	volumes  []*volume // the same, in the order in which they are looked through
-	sweepAt  int
-	departed []departure
-	keys     map[uint64]*chain
-	resting  []uint64 // keys whose chain became empty, oldest first
-	seq      uint64
-	leastAim time.Duration
-	mean     float64       // running mean of sizes over all classes
-	usual    fit           // over all classes and nodes
-	review   bool          // a timer for the next review is pending
-	reviewBy time.Duration // when it is due
-	stalled  bool          // it came far too late: this host had no turn meanwhile
-	out      int           // attempts out
-	watched  bool          // the list was heard from since the watch was last asked for
-	watchAt  time.Duration // when to ask again if it was not
-	taken    line[time.Duration]
-	extras   line[time.Duration]
-	company  Company
+	set       Settings
+	rng       *rand.Rand
+	now       time.Duration
+	born      time.Duration
+	alive     bool
+	acts      []Action
+	classes   []*class
+	reqs      map[uint32]*request
+	nodes     map[Server]*node
+	shards    []*shard // by cell
+	busy      []*shard // those with a queue, by cell
+	turn      []*shard // the same, as a batch ends
+	vols      map[uint64]*volume
+	volumes   []*volume // the same, in the order in which they are looked through
+	sweepAt   int
+	departed  []departure
+	keys      map[uint64]*chain
+	resting   []uint64 // keys whose chain became empty, oldest first
+	seq       uint64
+	leastAim  time.Duration
+	mostWorth float64       // of a class
+	mean      float64       // running mean of sizes over all classes
+	usual     fit           // over all classes and nodes
+	review    bool          // a timer for the next review is pending
+	reviewBy  time.Duration // when it is due
+	stalled   bool          // it came far too late: this host had no turn meanwhile
+	out       int           // attempts out
+	watched   bool          // the list was heard from since the watch was last asked for
+	watchAt   time.Duration // when to ask again if it was not
+	taken     line[time.Duration]
+	extras    line[time.Duration]
+	company   Company
 }
 
 // New starts a host that knows nothing but its settings.
@@ -228,6 +229,7 @@
 		nodes: map[Server]*node{}, vols: map[uint64]*volume{}, keys: map[uint64]*chain{}}
 	for _, c := range set.Classes {
 		h.classes = append(h.classes, &class{Class: c})
+		h.mostWorth = max(h.mostWorth, c.Worth)
 		if c.Aim > 0 && (h.leastAim == 0 || c.Aim < h.leastAim) {
 			h.leastAim = c.Aim
 		}
@@ -733,7 +735,7 @@
 	if h.leastAim <= 0 {
 		return s.node.depth
 	}
-	spent := s.node.latency.Seconds() / h.leastAim.Seconds()
+	spent := s.node.latency.Seconds() / h.leastAim.Seconds() / h.earns(r)
 	depth := min(s.node.depth, h.part(max(1, allSlots/math.Pow(max(1, spent/slowFrom), slowPower))))
 	if r.start > s.vt {
 		return depth
@@ -741,6 +743,14 @@
 	return depth + headroom*max(0, 1-spent/headPart)
 }
 
+// earns is what a unit of the request's class earns against one of the class that earns most.
+func (h *Host) earns(r *request) float64 {
+	if h.mostWorth <= 0 || r.class.Worth <= 0 {
+		return 1
+	}
+	return r.class.Worth / h.mostWorth
+}
+
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
 func (h *Host) usable(n *node) bool {
 	return n.Status == Ready && (n.fails == 0 || (n.used == 0 && h.now >= n.retryAt))
