A broken answer or a lost attempt is a doubt, which the next quick answer takes back

Host.judge made any reset a failure (one request at a time) and let each time-out add a quarter of the aim to the latency, which falls off by the fourth power in Host.bound. Dropped: the nodes themselves (their answers take 72 ms as ever).

--- a/control/control.go
+++ b/control/control.go
@@ -167,6 +167,8 @@
 	learntAt  time.Duration // last change of the latency
 	adaptedAt time.Duration
 	fails     int // in a row
+	resets    int
+	trusted   time.Duration // the latency before attempts were lost; 0: none was
 	retryAt   time.Duration
 	sent      line[mark] // of the last FallWindow
 	sum       float64    // of its units, but for rounding
@@ -1101,13 +1103,24 @@
 	silent := lost && o.Took > min(n.patience(), h.leastAim/2)
 	switch {
 	case o.Code == OK || o.Code == Error:
-		n.fails, n.heardAt = 0, h.now
+		n.fails, n.resets, n.heardAt = 0, 0, h.now
 	case r.lead != nil: // an operation fails once, with its lead
+	case o.Code == Reset && n.resets == 0:
+		n.resets++
 	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || silent:
 		n.fails++
 		n.retryAt = h.now + h.pause(n, o.Code)
 	}
 	if r.lead == nil && ((o.Code == OK && !h.stalled) || lost) {
+		if lost && n.trusted == 0 {
+			n.trusted = n.latency
+		}
+		if o.Code == OK {
+			if n.trusted > 0 && o.Took < n.trusted+n.deviation {
+				n.latency = n.trusted
+			}
+			n.trusted = 0
+		}
 		off := o.Took - n.latency
 		if lost {
 			off = o.Took // it would have taken longer, by about the mean
