Doubt is kept apart from the mean latency until the next answer

The same defence in a plainer form: lost attempts no longer widen the mean deviation, by which patience is reckoned.

--- a/control/control.go
+++ b/control/control.go
@@ -168,7 +168,7 @@
 	adaptedAt time.Duration
 	fails     int // in a row
 	resets    int
-	trusted   time.Duration // the latency before attempts were lost; 0: none was
+	doubt     time.Duration // what attempts lost since the last answer may add to the latency
 	retryAt   time.Duration
 	sent      line[mark] // of the last FallWindow
 	sum       float64    // of its units, but for rounding
@@ -387,6 +387,7 @@
 	if n.depth == 0 || e.Boot > n.Boot {
 		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, min(startDepth, h.part(allSlots)),
 			h.target()/2, h.target()/4
+		n.resets, n.doubt = 0, 0
 	}
 	n.Entry = e
 	if e.Status == Gone {
@@ -737,7 +738,7 @@
 	if h.leastAim <= 0 {
 		return s.node.depth
 	}
-	spent := s.node.latency.Seconds() / h.leastAim.Seconds() / h.earns(r)
+	spent := s.node.seems().Seconds() / h.leastAim.Seconds() / h.earns(r)
 	depth := min(s.node.depth, h.part(max(1, allSlots/math.Pow(max(1, spent/slowFrom), slowPower))))
 	if r.start > s.vt {
 		return depth
@@ -761,9 +762,12 @@
 // paced tells whether a bound under one slot holds the next send back: the last send's slot then counts for
 // longer than its attempt is out.
 func (h *Host) paced(n *node, bound float64) bool {
-	return bound < 1 && n.everSent && h.now-n.lastSent < seconds(n.latency.Seconds()/bound)
+	return bound < 1 && n.everSent && h.now-n.lastSent < seconds(n.seems().Seconds()/bound)
 }
 
+// seems is the mean latency, with what attempts lost since the last answer may add to it.
+func (n *node) seems() time.Duration { return n.latency + n.doubt }
+
 // patience is how long an attempt may be out before it is taken for lost or stuck.
 func (n *node) patience() time.Duration { return n.latency + deviations*n.deviation }
 
@@ -1112,27 +1116,20 @@
 		n.retryAt = h.now + h.pause(n, o.Code)
 	}
 	if r.lead == nil && ((o.Code == OK && !h.stalled) || lost) {
-		if lost && n.trusted == 0 {
-			n.trusted = n.latency
-		}
-		if o.Code == OK {
-			if n.trusted > 0 && o.Took < n.trusted+n.deviation {
-				n.latency = n.trusted
-			}
-			n.trusted = 0
-		}
-		off := o.Took - n.latency
+		n.learntAt = h.now
 		if lost {
-			off = o.Took // it would have taken longer, by about the mean
-		}
-		if o.Code == OK {
-			off -= h.extra(r.class, r.load)
+			n.doubt += time.Duration(learnWeight * float64(o.Took)) // it would have taken longer, by the mean
+		} else {
+			off := o.Took - n.latency - h.extra(r.class, r.load)
+			if off > n.deviation {
+				n.latency, off = n.latency+n.doubt, off-n.doubt
+			}
 			r.class.fit.add(r.load, o.Took.Seconds())
 			h.usual.add(r.load, o.Took.Seconds())
+			n.doubt = 0
+			n.latency += time.Duration(learnWeight * float64(off))
+			n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
 		}
-		n.learntAt = h.now
-		n.latency += time.Duration(learnWeight * float64(off))
-		n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
 		h.adapt(n)
 	}
 }
@@ -1156,10 +1153,11 @@
 // here, in tag order, and not in the node's own queue. Each host that does so gets a like part of the node.
 // It acts always; depth grows only while it holds requests back.
 func (h *Host) adapt(n *node) {
-	if h.now-n.adaptedAt < max(n.latency, leastPeriod) || n.latency <= 0 || h.leastAim <= 0 {
+	seems := n.seems()
+	if h.now-n.adaptedAt < max(seems, leastPeriod) || seems <= 0 || h.leastAim <= 0 {
 		return
 	}
-	want := min(n.depth*float64(h.target())/float64(n.latency), n.depth) + h.part(depthGain)
+	want := min(n.depth*float64(h.target())/float64(seems), n.depth) + h.part(depthGain)
 	if want < n.depth || n.limited {
 		n.depth = min(mostDepth, max(h.leastDepth(), n.depth+depthStep*(want-n.depth)))
 	}
@@ -1197,11 +1195,11 @@
 // many hosts, each hears of a node but now and then.
 func (h *Host) lately(n *node) time.Duration {
 	if h.usual.n < fitFrom {
-		return n.latency
+		return n.seems()
 	}
 	usual := seconds(h.usual.took)
 	fade := math.Exp2(-(h.now - n.learntAt).Seconds() / forgetIn.Seconds())
-	return usual + time.Duration(float64(n.latency-usual)*fade)
+	return usual + time.Duration(float64(n.seems()-usual)*fade)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
