A node's shared slots fall earlier for what lies beyond the reserve, by what it earns

Reads, writes and exports beyond their volume's reserve took the same part of a slow node as those half inside.

--- a/control/control.go
+++ b/control/control.go
@@ -751,7 +751,8 @@
 	if h.mostWorth <= 0 || r.class.Worth <= 0 {
 		return 1
 	}
-	return r.class.Worth / h.mostWorth
+	part := r.covered / r.Units
+	return r.class.Worth / h.mostWorth * math.Sqrt(part+(1-part)*h.set.ShareWorth)
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
