--- a/control/control.go
+++ b/control/control.go
@@ -211,7 +211,8 @@
 	resting   []uint64 // keys whose chain became empty, oldest first
 	seq       uint64
 	leastAim  time.Duration
-	mostWorth float64       // of a class
+	mostWorth float64 // of a class
+	mostPlan  float64
 	mean      float64       // running mean of sizes over all classes
 	usual     fit           // over all classes and nodes
 	review    bool          // a timer for the next review is pending
@@ -236,6 +237,9 @@
 			h.leastAim = c.Aim
 		}
 	}
+	for _, p := range set.Plans {
+		h.mostPlan = max(h.mostPlan, p.Worth)
+	}
 	return h
 }
 
@@ -752,7 +756,7 @@
 		return 1
 	}
 	part := r.covered / r.Units
-	return r.class.Worth / h.mostWorth * math.Sqrt(part+(1-part)*h.set.ShareWorth)
+	return r.class.Worth / h.mostWorth * math.Sqrt(part+(1-part)*h.set.ShareWorth) * r.vol.plan.Worth / h.mostPlan
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
