Only the wait at a node counts by what is earned, and its news fades to the fleet's mean for slots too

Now the time over the running median of answers is, from 0.3 of the aim on. And the pace went by a node's last latency, which is 1.7 to 2.5 s old: one pause of 200 ms held a node's queue for seconds. It fades to the mean of all nodes, as triage had it already.

--- a/control/control.go
+++ b/control/control.go
@@ -17,7 +17,7 @@
 const (
 	startDepth   = 8.0  // slots at a node of which nothing is known yet; the design's value
 	allSlots     = 128  // all hosts together may have this many out at a node that answers quickly
-	slowFrom     = 0.25 // over this part of the shortest aim a latency makes them fewer,
+	slowFrom     = 0.3  // over this part of the shortest aim a latency makes them fewer,
 	slowPower    = 4.0  // by this power of it
 	mostDepth    = 24.0 // requests out at one node, those taken for lost included
 	mostSlots    = 4.0  // a request's slot cost at most; the design's value
@@ -37,7 +37,7 @@
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
-	forgetIn     = time.Second            // half of what an old latency tells of a node is forgotten
+	forgetIn     = 500 * time.Millisecond // half of what an old latency tells of a node is forgotten
 	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
@@ -45,7 +45,8 @@
 	goneKeep     = 10 * time.Minute // a node gone for so long is forgotten
 	mostVolumes  = 1 << 16          // over so many, those that are idle keep no finish tag
 	sweepStep    = 2                // volumes looked at for each request taken, whether they may be forgotten
-	sumMargin    = 1e-6             // a running sum of units is off by far less than this part
+	calmStep     = 0.05
+	sumMargin    = 1e-6 // a running sum of units is off by far less than this part
 )
 
 // request is one client's try, from its arrival until it has its answer and no attempt of it is out.
@@ -213,6 +214,7 @@
 	leastAim  time.Duration
 	mostWorth float64 // of a class
 	mostPlan  float64
+	calm      time.Duration // running median of what the usual request takes
 	mean      float64       // running mean of sizes over all classes
 	usual     fit           // over all classes and nodes
 	review    bool          // a timer for the next review is pending
@@ -742,7 +744,9 @@
 	if h.leastAim <= 0 {
 		return s.node.depth
 	}
-	spent := s.node.seems().Seconds() / h.leastAim.Seconds() / h.earns(r)
+	takes := h.lately(s.node)
+	wait := max(0, takes-h.calm)
+	spent := ((takes - wait).Seconds() + wait.Seconds()/h.earns(r)) / h.leastAim.Seconds()
 	depth := min(s.node.depth, h.part(max(1, allSlots/math.Pow(max(1, spent/slowFrom), slowPower))))
 	if r.start > s.vt {
 		return depth
@@ -1131,6 +1135,7 @@
 			}
 			r.class.fit.add(r.load, o.Took.Seconds())
 			h.usual.add(r.load, o.Took.Seconds())
+			h.settleCalm(o.Took - h.extra(r.class, r.load))
 			n.doubt = 0
 			n.latency += time.Duration(learnWeight * float64(off))
 			n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
@@ -1139,6 +1144,15 @@
 	}
 }
 
+// settleCalm follows the median of times at nodes. It stands for what the work itself takes.
+func (h *Host) settleCalm(took time.Duration) {
+	step := calmStep * max(h.calm.Seconds(), h.usual.took)
+	if took < h.calm {
+		step = -step
+	}
+	h.calm = max(0, h.calm+seconds(step))
+}
+
 // pause is how long a node that fails is left alone: growing fourfold, and not in step with other hosts.
 // One that turns away or does not answer in time may be full of work that nobody waits for any more; the
 // trials of many hosts alone would keep it full, so all hosts together try it about once in trialGap.
