New objects keep away from nodes that answer with errors; slots and triage fade apart; tests of the move

Host.judge took an error for health and Host.place never looked: a node that fails most requests fast looks quick and idle. Placing divides by the third power of the part of answers that were no errors.

--- a/control/control.go
+++ b/control/control.go
@@ -37,8 +37,9 @@
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
-	forgetIn     = 500 * time.Millisecond // half of what an old latency tells of a node is forgotten
-	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
+	paceForgetIn = 500 * time.Millisecond
+	forgetIn     = time.Second           // half of what an old latency tells of a node is forgotten
+	sureMargin   = 10 * time.Millisecond // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
 	tokenWatch   = 2
 	doublingsMax = 10
@@ -46,6 +47,7 @@
 	mostVolumes  = 1 << 16          // over so many, those that are idle keep no finish tag
 	sweepStep    = 2                // volumes looked at for each request taken, whether they may be forgotten
 	calmStep     = 0.05
+	errorPower   = 3.0
 	sumMargin    = 1e-6 // a running sum of units is off by far less than this part
 )
 
@@ -169,6 +171,7 @@
 	adaptedAt time.Duration
 	fails     int // in a row
 	resets    int
+	errors    float64       // running part of answers that were errors
 	doubt     time.Duration // what attempts lost since the last answer may add to the latency
 	retryAt   time.Duration
 	sent      line[mark] // of the last FallWindow
@@ -393,7 +396,7 @@
 	if n.depth == 0 || e.Boot > n.Boot {
 		n.fails, n.retryAt, n.depth, n.latency, n.deviation = 0, 0, min(startDepth, h.part(allSlots)),
 			h.target()/2, h.target()/4
-		n.resets, n.doubt = 0, 0
+		n.resets, n.doubt, n.errors = 0, 0, 0
 	}
 	n.Entry = e
 	if e.Status == Gone {
@@ -646,6 +649,8 @@
 		wait := math.MaxFloat64
 		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
 			wait = max(h.expect(n, r), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.set.MeanUnits, 1))
+			wait /= math.Pow(1-n.errors, errorPower)
+
 		}
 		if wait < least {
 			best, least = s, wait
@@ -744,7 +749,7 @@
 	if h.leastAim <= 0 {
 		return s.node.depth
 	}
-	takes := h.lately(s.node)
+	takes := h.fading(s.node, paceForgetIn)
 	wait := max(0, takes-h.calm)
 	spent := ((takes - wait).Seconds() + wait.Seconds()/h.earns(r)) / h.leastAim.Seconds()
 	depth := min(s.node.depth, h.part(max(1, allSlots/math.Pow(max(1, spent/slowFrom), slowPower))))
@@ -754,13 +759,19 @@
 	return depth + headroom*max(0, 1-spent/headPart)
 }
 
-// earns is what a unit of the request's class earns against one of the class that earns most.
+// earns is what a unit of the request earns against one of the class and plan that earn most, all of it inside
+// the reserve; worths that are not told count alike.
 func (h *Host) earns(r *request) float64 {
-	if h.mostWorth <= 0 || r.class.Worth <= 0 {
+	part := r.covered / r.Units
+	return partOf(r.class.Worth, h.mostWorth) * partOf(r.vol.plan.Worth, h.mostPlan) *
+		math.Sqrt(part+(1-part)*partOf(h.set.ShareWorth, 1))
+}
+
+func partOf(worth, most float64) float64 {
+	if worth <= 0 {
 		return 1
 	}
-	part := r.covered / r.Units
-	return r.class.Worth / h.mostWorth * math.Sqrt(part+(1-part)*h.set.ShareWorth) * r.vol.plan.Worth / h.mostPlan
+	return worth / most
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
@@ -1114,6 +1125,12 @@
 func (h *Host) judge(n *node, r *request, o Outcome) {
 	lost := o.Code == TimedOut && !h.stalled && n.heardAt <= r.sentAt && o.Took > min(n.latency, h.leastAim/2)
 	silent := lost && o.Took > min(n.patience(), h.leastAim/2)
+	switch o.Code {
+	case OK:
+		n.errors *= 1 - learnWeight
+	case Error:
+		n.errors += learnWeight * (1 - n.errors)
+	}
 	switch {
 	case o.Code == OK || o.Code == Error:
 		n.fails, n.resets, n.heardAt = 0, 0, h.now
@@ -1210,14 +1227,16 @@
 	return seconds(c.fit.predict(units) - h.usual.took)
 }
 
-// lately is what the usual request took at the node. What is old of it fades towards that of all nodes: with
+func (h *Host) lately(n *node) time.Duration { return h.fading(n, forgetIn) }
+
+// fading is what the usual request took at the node. What is old of it fades towards that of all nodes: with
 // many hosts, each hears of a node but now and then.
-func (h *Host) lately(n *node) time.Duration {
+func (h *Host) fading(n *node, half time.Duration) time.Duration {
 	if h.usual.n < fitFrom {
 		return n.seems()
 	}
 	usual := seconds(h.usual.took)
-	fade := math.Exp2(-(h.now - n.learntAt).Seconds() / forgetIn.Seconds())
+	fade := math.Exp2(-(h.now - n.learntAt).Seconds() / half.Seconds())
 	return usual + time.Duration(float64(n.seems()-usual)*fade)
 }
 
--- /dev/null
+++ b/control/move_test.go
@@ -0,0 +1,215 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A part of the answers of nodes that do their work may break on the way: one of them alone must not set its
+// node to one request at a time. Two in a row are a node that fails.
+func TestOneBrokenAnswerIsNoSickNode(t *testing.T) {
+	r := start(t, settings(), 1)
+	n := r.h.nodes[server(0)]
+	r.do(r.ask(nil), r.ask(nil), r.ask(nil))
+	r.done(1, 0, 0, Reset, 10*ms)
+	if n.fails != 0 || !r.h.usable(n) {
+		t.Errorf("after one reset: %d failures, usable %v", n.fails, r.h.usable(n))
+	}
+	r.done(2, 0, 0, Reset, 10*ms)
+	if n.fails != 1 {
+		t.Errorf("after two resets: %d failures, want 1", n.fails)
+	}
+	r.done(3, 0, 0, OK, 10*ms)
+	r.do(r.ask(nil))
+	r.done(4, 0, 0, Reset, 10*ms)
+	if n.fails != 0 {
+		t.Errorf("a reset after an answer: %d failures, want 0", n.fails)
+	}
+}
+
+// Lost answers make a node look slow until an answer as quick as ever tells that it is not.
+func TestAQuickAnswerTakesDoubtBack(t *testing.T) {
+	set := settings()
+	for _, c := range []struct {
+		took time.Duration
+		more bool
+	}{{100 * ms, false}, {3 * time.Second, true}} {
+		r := start(t, set, 1)
+		n := r.h.nodes[server(0)]
+		n.latency, n.deviation = 100*ms, 10*ms
+		r.do(r.ask(nil))
+		r.now += time.Second
+		r.done(1, 0, 0, TimedOut, time.Second)
+		if n.latency != 100*ms || n.seems() <= n.latency {
+			t.Errorf("after a lost answer: mean %v, seems %v", n.latency, n.seems())
+		}
+		doubt := n.doubt
+		n.fails = 0
+		r.do(r.ask(nil))
+		r.now += c.took
+		r.done(2, 0, 0, OK, c.took)
+		sure := 100*ms + time.Duration(learnWeight*float64(c.took-100*ms))
+		if n.doubt != 0 || (n.latency > sure) != c.more {
+			t.Errorf("after %v: mean %v, doubt %v, was %v", c.took, n.latency, n.doubt, doubt)
+		}
+	}
+}
+
+// What earns little a unit must not fill a node that makes what earns much wait; where nothing waits at a
+// node, all classes, plans and parts of the reserve get the same slots.
+func TestSlotsFallEarlierForWhatEarnsLess(t *testing.T) {
+	set := settings()
+	set.Hosts, set.ShareWorth = 256, 0.3
+	set.Classes[0].Worth = 3
+	set.Classes = append(set.Classes, Class{Aim: 2 * time.Second, Deadline: 4 * time.Second, Worth: 1})
+	set.Plans[0].Worth = 1.5
+	r := start(t, set, 1)
+	n, s := r.fix(8), r.h.shards[0]
+	r.h.calm, s.vt = 200*ms, 1
+	dear := func() *request {
+		return &request{Request: Request{Units: 2}, class: r.h.classes[0], vol: &volume{plan: Plan{Worth: 1.5}},
+			covered: 2, start: 2}
+	}
+	others := map[string]func(*request){
+		"class":   func(q *request) { q.class = r.h.classes[1] },
+		"plan":    func(q *request) { q.vol.plan.Worth = 0.9 },
+		"reserve": func(q *request) { q.covered = 0 },
+	}
+	for name, cheaper := range others {
+		q := dear()
+		cheaper(q)
+		n.latency = 200 * ms
+		if got, most := r.h.bound(s, q), r.h.bound(s, dear()); got != most {
+			t.Errorf("%s: %v slots where nothing waits, want %v", name, got, most)
+		}
+		n.latency = 500 * ms
+		if got, most := r.h.bound(s, q), r.h.bound(s, dear()); got >= most/2 {
+			t.Errorf("%s: %v slots where requests wait, want under half of %v", name, got, most)
+		}
+	}
+}
+
+// Settings that tell no worths leave all requests alike.
+func TestWorthsNotToldCountAlike(t *testing.T) {
+	set := settings()
+	set.Classes[0].Worth, set.Plans[0].Worth, set.ShareWorth = 0, 0, 0
+	r := start(t, set, 1)
+	if got := r.h.earns(&request{Request: Request{Units: 2}, class: r.h.classes[0], vol: &volume{}}); got != 1 {
+		t.Errorf("a unit earns %v of the most, want 1", got)
+	}
+}
+
+// With many hosts each hears of a node every few seconds: one pause of the node must not hold its requests
+// back until then.
+func TestOneSlowAnswerIsForgottenForThePace(t *testing.T) {
+	set := settings()
+	set.Hosts = 256
+	r := start(t, set, 1)
+	n, s := r.fix(8), r.h.shards[0]
+	for range int(2 * fitFrom) {
+		r.h.usual.add(1, 0.05)
+	}
+	s.vt, n.latency, n.learntAt = 1, 600*ms, r.now
+	q := &request{Request: Request{Units: 1}, class: r.h.classes[0], vol: &volume{}, covered: 1, start: 2}
+	slow := r.h.bound(s, q)
+	r.h.now += 4 * paceForgetIn
+	if later := r.h.bound(s, q); later < 4*slow {
+		t.Errorf("%v slots just after a slow answer, %v later", slow, later)
+	}
+}
+
+// A node that fails most of its requests fast looks quick and idle; new objects must not gather there.
+func TestNewObjectsKeepAwayFromErrors(t *testing.T) {
+	r := start(t, settings(), 2)
+	bad := r.h.shards[0].node
+	for range 6 {
+		q := r.ask(nil)
+		r.do(q)
+		r.done(q.ID, 0, 0, Error, ms)
+		r.do(Left{ID: q.ID})
+		if a := len(r.h.reqs); a > 0 { // its further attempt
+			r.done(q.ID, 1, 0, Error, ms)
+		}
+	}
+	bad.out, bad.used = nil, 0
+	if s := r.h.place(&request{Request: Request{Units: 1}, class: r.h.classes[0]}); s.node == bad {
+		t.Errorf("a new object goes to a node of which %.2f of the answers are errors", bad.errors)
+	}
+	bad.errors = 0
+	bad.latency /= 2
+	if s := r.h.place(&request{Request: Request{Units: 1}, class: r.h.classes[0]}); s.node != bad {
+		t.Error("a new object keeps away from the quicker node without errors")
+	}
+}
+
+// A site whose unsafe writes may have run: the end of the attempt is what is given up on. It fails in that
+// batch, without a refusal, a further attempt or advice.
+func TestUnsafeWritesThatMayHaveRunFailAtOnce(t *testing.T) {
+	set := settings()
+	set.RetryAfter, set.Budget, set.BudgetFloor, set.BudgetWindow = false, true, 3, 5*time.Second
+	set.Classes[0].Repeat, set.Classes[0].Writes = Unsafe, true
+	for _, code := range []Code{Error, TimedOut, Reset, Cancelled} {
+		r := start(t, set, 2)
+		r.do(r.ask(func(q *Request) { q.Cell = NewObject }))
+		n := r.h.reqs[1].node
+		acts := r.done(1, 0, int(n.Cell), code, 50*ms)
+		want(t, fmt.Sprint("answer after ", code), ends(acts), "fail 1")
+		want(t, "further attempts", sends(acts))
+	}
+	for _, code := range []Code{Full, ConnectFailed} {
+		r := start(t, set, 1)
+		r.do(r.ask(nil))
+		r.done(1, 0, 0, code, ms)
+		r.pass(time.Second)
+		for _, a := range r.acts {
+			if f, ok := a.(Refuse); ok && f.Backoff != 0 {
+				t.Errorf("after %v: advice of %v where none may be given", code, f.Backoff)
+			}
+			if _, ok := a.(Fail); ok {
+				t.Errorf("after %v: a failure, though nothing ran", code)
+			}
+		}
+	}
+}
+
+// The budget binds at any moment, counted from the host's own start.
+func TestBudgetBindsAtAnyMomentAndAfterAStart(t *testing.T) {
+	set := settings()
+	set.Budget, set.BudgetFloor, set.BudgetRatio, set.BudgetWindow = true, 3, 0.15, 5*time.Second
+	for range 2 { // a restart knows nothing of what was spent before
+		r := start(t, set, 1)
+		var taken, extra []time.Duration
+		within := func(list []time.Duration) (n int) {
+			for _, at := range list {
+				if at > r.now-5*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		for range 400 {
+			r.now += 50 * ms
+			taken = append(taken, r.now)
+			acts := r.do(r.ask(nil))
+			for range 3 {
+				var next []Action
+				for _, id := range sends(acts) {
+					q := r.h.reqs[id]
+					if q.attempts > 1 {
+						extra = append(extra, r.now)
+						if got, most := within(extra), 3+0.15*float64(within(taken)); float64(got) > most {
+							t.Fatalf("%d further attempts in 5 s, at most %v", got, most)
+						}
+					}
+					r.h.nodes[server(0)].fails = 0
+					next = append(next, r.done(id, q.attempts-1, 0, Error, ms)...)
+				}
+				acts = next
+			}
+		}
+		if len(extra) < 20 {
+			t.Fatalf("only %d further attempts: the bound was not met", len(extra))
+		}
+	}
+}
