New objects of many hosts spread by chance over nodes never heard of

Host.place takes the first of equals, and to a host that starts all nodes are equal: 215 hosts send to the shard of the lowest cell. Dropped: cold nodes (none yet), the pace (unpaced).

--- a/control/control.go
+++ b/control/control.go
@@ -649,6 +649,9 @@
 		wait := math.MaxFloat64
 		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
 			wait = max(h.expect(n, r), h.oldest(n)).Seconds() * (1 + n.used + s.units/max(h.set.MeanUnits, 1))
+			if n.heardAt == 0 {
+				wait *= 0.5 + h.rng.Float64()
+			}
 			wait /= math.Pow(1-n.errors, errorPower)
 
 		}
