--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,7 @@
 	sweepStep    = 2                // volumes looked at for each request taken, whether they may be forgotten
 	calmStep     = 0.05
 	errorPower   = 3.0
+	tideOver     = 16.0
 	sumMargin    = 1e-6 // a running sum of units is off by far less than this part
 )
 
@@ -217,6 +218,7 @@
 	leastAim  time.Duration
 	mostWorth float64 // of a class
 	mostPlan  float64
+	tide      time.Duration
 	calm      time.Duration // running median of what the usual request takes
 	mean      float64       // running mean of sizes over all classes
 	usual     fit           // over all classes and nodes
@@ -752,7 +754,7 @@
 	if h.leastAim <= 0 {
 		return s.node.depth
 	}
-	takes := h.fading(s.node, paceForgetIn)
+	takes := h.fading(s.node, paceForgetIn, h.tide)
 	wait := max(0, takes-h.calm)
 	spent := ((takes - wait).Seconds() + wait.Seconds()/h.earns(r)) / h.leastAim.Seconds()
 	depth := min(s.node.depth, h.part(max(1, allSlots/math.Pow(max(1, spent/slowFrom), slowPower))))
@@ -1148,6 +1150,9 @@
 		n.learntAt = h.now
 		if lost {
 			n.doubt += time.Duration(learnWeight * float64(o.Took)) // it would have taken longer, by the mean
+			if n.fails <= 1 {
+				h.flow(min(o.Took, 2*h.tide))
+			}
 		} else {
 			off := o.Took - n.latency - h.extra(r.class, r.load)
 			if off > n.deviation {
@@ -1156,6 +1161,7 @@
 			r.class.fit.add(r.load, o.Took.Seconds())
 			h.usual.add(r.load, o.Took.Seconds())
 			h.settleCalm(o.Took - h.extra(r.class, r.load))
+			h.flow(o.Took - h.extra(r.class, r.load))
 			n.doubt = 0
 			n.latency += time.Duration(learnWeight * float64(off))
 			n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
@@ -1173,6 +1179,10 @@
 	h.calm = max(0, h.calm+seconds(step))
 }
 
+func (h *Host) flow(took time.Duration) {
+	h.tide += time.Duration(float64(took-h.tide) / min(tideOver, max(8, h.usual.n)))
+}
+
 // pause is how long a node that fails is left alone: growing fourfold, and not in step with other hosts.
 // One that turns away or does not answer in time may be full of work that nobody waits for any more; the
 // trials of many hosts alone would keep it full, so all hosts together try it about once in trialGap.
@@ -1230,15 +1240,14 @@
 	return seconds(c.fit.predict(units) - h.usual.took)
 }
 
-func (h *Host) lately(n *node) time.Duration { return h.fading(n, forgetIn) }
+func (h *Host) lately(n *node) time.Duration { return h.fading(n, forgetIn, seconds(h.usual.took)) }
 
 // fading is what the usual request took at the node. What is old of it fades towards that of all nodes: with
 // many hosts, each hears of a node but now and then.
-func (h *Host) fading(n *node, half time.Duration) time.Duration {
+func (h *Host) fading(n *node, half, usual time.Duration) time.Duration {
 	if h.usual.n < fitFrom {
 		return n.seems()
 	}
-	usual := seconds(h.usual.took)
 	fade := math.Exp2(-(h.now - n.learntAt).Seconds() / half.Seconds())
 	return usual + time.Duration(float64(n.seems()-usual)*fade)
 }
