--- a/control/company_test.go
+++ b/control/company_test.go
@@ -117,6 +117,7 @@
 	for range 20 {
 		r.h.usual.add(1, 0.1)
 	}
+	r.h.tide = 100 * ms
 	r.do(c.add(r.ask(nil)), c.add(r.ask(func(q *Request) { q.Expires = r.now + 40*ms })))
 	if got := with(r.acts); len(got[1]) != 0 {
 		t.Errorf("a request of 40 ms patience joined one that takes 100 ms: %v", got)
@@ -142,6 +143,7 @@
 		r.h.usual.add(units, 0.01*units)
 		r.h.classes[0].fit.add(units, 0.01*units)
 	}
+	r.h.tide = seconds(r.h.usual.took)
 	n.deviation = 15 * ms
 	var qs []Event
 	for range 6 {
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -184,7 +184,7 @@
 
 // DefaultSite is a site before its file is read.
 func DefaultSite() Site {
-	return Site{Zones: []string{"a"}, MeanUnits: 2, MostUnits: 8, Share: 0.3, Spare: 0.08,
+	return Site{Zones: []string{"a"}, MeanUnits: 2, MostUnits: 8, Share: 1, Spare: 1,
 		Rules: Rules{AnswerSlack: 50 * time.Millisecond, DrainGrace: time.Second},
 		Limits: Limits{Attempts: 3, Open: 20_000, Cancel: true, RetryAfter: true,
 			MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond,
