--- /dev/null
+++ b/carry/carry_test.go
@@ -0,0 +1,100 @@
+package carry
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/roster"
+)
+
+func server(i byte) control.Server { return control.Server{Addr: [4]byte{127, 0, 0, i}, Port: 1} }
+
+func site() Site {
+	return Site{Mean: 2, Most: 8, Classes: []Class{{"read", false}, {"write", true}}}
+}
+
+func listed() []roster.Entry {
+	return []roster.Entry{{Server: server(1), Status: control.Ready, Boot: 10},
+		{Server: server(2), Status: control.Ready, Boot: 20}, {Server: server(3), Status: control.Ready, Boot: 30}}
+}
+
+const wall = int64(time.Hour) * 1000
+
+func record() Record {
+	fit := control.LearntFit{N: 20, Size: 2, Took: 0.01, Square: 5, Cross: 0.03}
+	l := control.Learnt{Nodes: map[control.Server]control.LearntNode{}, Usual: fit, Median: 9 * time.Millisecond,
+		Lately: 12 * time.Millisecond, Classes: []control.LearntClass{{Mean: 2, Seen: 30, Fit: fit},
+			{Mean: 3, Seen: 40, Fit: fit}}}
+	for i := byte(1); i <= 3; i++ {
+		l.Nodes[server(i)] = control.LearntNode{Latency: time.Duration(i) * time.Millisecond}
+	}
+	return Keep(wall, site(), l, listed())
+}
+
+func TestAllCarriesOverWhereNothingChanged(t *testing.T) {
+	r := record()
+	if err := r.Check(wall+1, site()); err != nil {
+		t.Fatal(err)
+	}
+	l := r.Over(site(), listed())
+	if len(l.Nodes) != 3 || l.Usual.N != 20 || l.Median == 0 || l.Lately == 0 || l.Classes[1].Mean != 3 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// A node that started anew, drains or is another is learnt afresh.
+func TestOnlyTheSameStartOfANodeCarriesOver(t *testing.T) {
+	list := listed()
+	list[0].Boot++
+	list[1].Status = control.Draining
+	l := record().Over(site(), list)
+	if _, same := l.Nodes[server(3)]; len(l.Nodes) != 1 || !same {
+		t.Errorf("got %v, want node 3 alone", l.Nodes)
+	}
+}
+
+// Figures of classes follow their names; a class that is new, or writes now, starts afresh, and so does what is
+// reckoned over all classes.
+func TestClassesCarryOverByName(t *testing.T) {
+	now := site()
+	now.Classes = []Class{{"write", true}, {"read", true}, {"scan", false}}
+	l := record().Over(now, listed())
+	if l.Classes[0].Mean != 3 || l.Classes[1].Seen != 0 || l.Classes[2].Seen != 0 {
+		t.Errorf("classes %+v", l.Classes)
+	}
+	if l.Usual.N != 0 || l.Median != 0 || l.Lately != 0 || len(l.Nodes) != 3 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// Where a unit means something else, no size and no time means the same.
+func TestNothingCarriesOverToOtherUnits(t *testing.T) {
+	now := site()
+	now.Mean = 3
+	if l := record().Over(now, listed()); len(l.Nodes) != 0 || len(l.Classes) != 0 || l.Usual.N != 0 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+func TestRecordsThatCannotBeBelieved(t *testing.T) {
+	for want, spoil := range map[string]func(r *Record){
+		"no time":             func(r *Record) { r.Written = 0 },
+		"of instance 3":       func(r *Record) { r.Site.Number = 3 },
+		"from now":            func(r *Record) { r.Written = wall + int64(2*time.Minute) },
+		"old, over 1h":        func(r *Record) { r.Written = wall - int64(2*time.Hour) },
+		"of 1 classes":        func(r *Record) { r.Classes = r.Classes[:1] },
+		"class write are out": func(r *Record) { r.Classes[1].Mean = 1e9 },
+		"class read are out":  func(r *Record) { r.Classes[0].Fit.Cross = math.NaN() },
+		"usual request are":   func(r *Record) { r.Usual.Took = -1 },
+		"of a node are out":   func(r *Record) { r.Nodes[0].Learnt.Latency = -1 },
+	} {
+		r := record()
+		spoil(&r)
+		if err := r.Check(wall, site()); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -15,7 +15,9 @@
   (class r (aim 100ms) (deadline 1s))
   (class w (aim 200ms) (deadline 2s) (repeat keyed) (group zone) (window 5s) (in-order) (writes)
     (worth 3) (late 0.2))
-  (plan p (rate 5) (reserve 2) (weight 2) (limit 10) (burst 20) (slack 3))
+  (plan p (rate 5) (reserve 2) (weight 2) (limit 10) (burst 20) (slack 3) (worth 1.5))
+  (share-worth 0.35) (spare-worth 0.1) (retries-known) (elsewhere)
+  (limits (retry-after no) (second-copies) (probes) (peers no))
   (rules (cold-share 0.2) (cold-units 50) (ramp 10s) (fall-window 2s) (fall-multiple 2) (order-pause 50ms)
     (budget (floor 3) (ratio 0.1) (window 4s))))`
 
@@ -46,6 +48,10 @@
 		!s.Budget || s.BudgetFloor != 3 || s.BudgetRatio != 0.1 || s.BudgetWindow != 4*time.Second {
 		t.Errorf("settings %+v", s)
 	}
+	if s.RetryAfter || !s.SecondCopies || !s.Probes || s.ShareWorth != 0.35 || s.SpareWorth != 0.1 ||
+		!s.RetriesAreKnown || !s.TellsElsewhere || p.Worth != 1.5 {
+		t.Errorf("settings of the newer build %+v", s)
+	}
 	if w.Repeat != control.Keyed || w.Group != control.GroupZone || w.Window != 5*time.Second || !w.InOrder ||
 		!w.Writes || w.Worth != 3 || w.Late != 0.2 || w.Aim != 200*time.Millisecond {
 		t.Errorf("class %+v", w)
@@ -55,9 +61,23 @@
 	}
 }
 
+// Settings that say nothing of worths, advice and peers leave what the module did before it read them.
+func TestDefaultsLeavePresentBehaviour(t *testing.T) {
+	i, err := load(t, "(instance (listen 127.0.0.1:1) (list 127.0.0.1:2)\n"+
+		"(site (class r (aim 1s) (deadline 2s)) (class w (aim 1s) (deadline 2s)) (plan p (rate 1)) (plan q (rate 2))))")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := i.Site.Control(0, 1, 0, false)
+	if s.ShareWorth != 1 || s.Classes[0].Worth != s.Classes[1].Worth || s.Plans[0].Worth != s.Plans[1].Worth ||
+		!s.RetryAfter || s.Budget || !i.Site.Limits.Peers {
+		t.Errorf("settings %+v", s)
+	}
+}
+
 // What is printed as in force reads back to the same.
 func TestSettingsInForceReadBack(t *testing.T) {
-	i, err := load(t, "(instance (listen 127.0.0.1:1) (list 127.0.0.1:2) (peer 1 127.0.0.1:3)\n"+site+")")
+	i, err := load(t, "(instance (listen 127.0.0.1:1) (list 127.0.0.1:2) (learnt \"x\")\n"+site+")")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,6 +112,16 @@
 			"i.lisp:2:1: class r stands twice"},
 		{in("\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (rules (ramp 5s)))"),
 			"i.lisp:2:1: nodes that start cold"},
+		{in("\n(site (class r (aim 1s) (deadline 1s) (repeat unsafe) (window 1s)) (plan p (rate 1)))"),
+			"i.lisp:2:7: class r is unsafe; only a keyed class has a (window …)"},
+		{in("\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (share-worth 0.3) (spare-worth 0.4))"),
+			"i.lisp:2:1: spare-worth 0.4 is over share-worth 0.3"},
+		{in("\n(site (share-worth 2) (class r (aim 1s) (deadline 1s)) (plan p (rate 1)))"), "i.lisp:2:"},
+		{in("\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (rules (budget (window 5s))))"),
+			"i.lisp:2:1: a budget of nothing"},
+		{in(" (peer-listen 127.0.0.1:3)\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (limits (peers no)))"),
+			"i.lisp:1:1: the site has (peers no)"},
+		{in(ok + "(learnt /x) (kept-list /x)"), "i.lisp:1:1: (learnt …) and (kept-list …) name the same file /x"},
 	} {
 		_, err := load(t, c.text)
 		if err == nil || !strings.Contains(err.Error(), c.want) {
--- a/internal/config/programs.go
+++ b/internal/config/programs.go
@@ -44,6 +44,7 @@
 	Listen     Addr          `s:"listen,required"`
 	List       Addr          `s:"list,required"`
 	KeptList   string        `s:"kept-list"`
+	Learnt     string        `s:"learnt"` // file of what was learnt, for the next life
 	PeerListen Addr          `s:"peer-listen"`
 	Peers      []Peer        `s:"peer"`
 	LogLevel   string        `s:"log-level"`
@@ -68,6 +69,12 @@
 	if i.Site.Zone(i.Zone) < 0 {
 		return fmt.Errorf("zone %s is none of %v", i.Zone, i.Site.Zones)
 	}
+	if !i.Site.Limits.Peers && (i.PeerListen.IsValid() || len(i.Peers) > 0) {
+		return fmt.Errorf("the site has (peers no) in its (limits …): want no (peer-listen …) and no (peer …)")
+	}
+	if i.Learnt != "" && i.Learnt == i.KeptList {
+		return fmt.Errorf("(learnt …) and (kept-list …) name the same file %s", i.Learnt)
+	}
 	for n, p := range i.Peers {
 		for _, q := range i.Peers[:n] {
 			if p.Number == q.Number {
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -62,6 +62,8 @@
 		return fmt.Errorf("class %s: aim %v is after its deadline %v", c.Name, c.Aim, c.Deadline)
 	case c.Repeat == Repeat(control.Keyed) && c.Window == 0:
 		return fmt.Errorf("class %s is keyed; want (window …), in which its group drops repeats", c.Name)
+	case c.Repeat != Repeat(control.Keyed) && c.Window > 0:
+		return fmt.Errorf("class %s is %v; only a keyed class has a (window …)", c.Name, c.Repeat)
 	}
 	return nil
 }
@@ -114,6 +116,7 @@
 	Cancel         bool          `s:"cancel"`
 	Probes         bool          `s:"probes"`
 	SecondCopies   bool          `s:"second-copies"`
+	Peers          bool          `s:"peers"` // instances may send to one another
 	RetryAfter     bool          `s:"retry-after"`
 	MaxRetryAfter  time.Duration `s:"max-retry-after" min:"0s" max:"10m"`
 	ConnectTimeout time.Duration `s:"connect-timeout" min:"1ms" max:"1m"`
@@ -186,7 +189,7 @@
 func DefaultSite() Site {
 	return Site{Zones: []string{"a"}, MeanUnits: 2, MostUnits: 8, Share: 1, Spare: 1,
 		Rules: Rules{AnswerSlack: 50 * time.Millisecond, DrainGrace: time.Second},
-		Limits: Limits{Attempts: 3, Open: 20_000, Cancel: true, RetryAfter: true,
+		Limits: Limits{Attempts: 3, Open: 20_000, Cancel: true, Peers: true, RetryAfter: true,
 			MaxRetryAfter: 500 * time.Millisecond, ConnectTimeout: 250 * time.Millisecond,
 			IdleClose: 15 * time.Second, Silence: 10 * time.Second, Streams: 128, NodeConns: 4,
 			ClientConns: 1024, Payload: 8 << 20,
@@ -229,7 +232,14 @@
 		return fmt.Errorf("an operation of %d bytes is over the payload limit of %d", e.Largest,
 			s.Limits.Payload)
 	}
+	if s.Spare > s.Share {
+		return fmt.Errorf("spare-worth %v is over share-worth %v: what lies beyond a share earns no more than it",
+			s.Spare, s.Share)
+	}
 	r := s.Rules
+	if b := r.Budget; b != nil && s.Limits.Attempts > 1 && b.Floor+b.Ratio == 0 {
+		return fmt.Errorf("a budget of nothing allows no further attempt; want (attempts 1) in (limits …) as well")
+	}
 	if r.Ramp > 0 && (r.ColdUnits <= 0 || r.FallWindow <= 0 || r.FallMultiple <= 1) {
 		return fmt.Errorf("nodes that start cold (ramp %v) need cold-units, fall-window, fall-multiple",
 			r.Ramp)
--- a/internal/nodelist/nodelist_test.go
+++ b/internal/nodelist/nodelist_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"landingpaddle/control"
+	"landingpaddle/internal/keep"
 	"landingpaddle/internal/proto"
 	"landingpaddle/roster"
 )
@@ -204,12 +205,12 @@
 	}
 	data, _ := os.ReadFile(f.Path)
 	for n := range data {
-		if _, err := parseKept(data[:n]); !errors.Is(err, ErrKept) {
+		if _, err := parseKept(data[:n]); !errors.Is(err, keep.ErrBad) {
 			t.Fatalf("cut at %d: %v", n, err)
 		}
 		bad := append([]byte(nil), data...)
 		bad[n] ^= 1
-		if _, err := parseKept(bad); !errors.Is(err, ErrKept) {
+		if _, err := parseKept(bad); !errors.Is(err, keep.ErrBad) {
 			t.Fatalf("byte %d changed: %v", n, err)
 		}
 	}
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -135,6 +135,10 @@
 		f.i.log.Debug("refused", "reason", reason, "token", k.req.Token)
 		return c.conn.Post(proto.TypeAnswer, fr.Stream, a, nil)
 	}
+	advice := lim.MaxRetryAfter
+	if !lim.RetryAfter {
+		advice = 0 // where a refusal may not say when to come back, this one does not either
+	}
 	if why := f.bad(k); why != "" {
 		return refuse(why, 0)
 	}
@@ -143,10 +147,10 @@
 	switch {
 	case f.i.stopping():
 		f.open.Add(-1)
-		return refuse(ReasonStopping, lim.MaxRetryAfter)
+		return refuse(ReasonStopping, advice)
 	case open > int64(lim.Open):
 		f.open.Add(-1)
-		return refuse(ReasonOverload, lim.MaxRetryAfter)
+		return refuse(ReasonOverload, advice)
 	}
 	c.mu.Lock()
 	c.calls[fr.Stream] = k
--- /dev/null
+++ b/internal/sched/learnt.go
@@ -0,0 +1,84 @@
+package sched
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"slices"
+
+	"landingpaddle/carry"
+	"landingpaddle/control"
+	"landingpaddle/internal/keep"
+	"landingpaddle/roster"
+)
+
+// learntMagic begins a file of what was learnt; another number in it is another form.
+const learntMagic = "LPLEARN1"
+
+// facts are the settings on which the meaning of figures hangs.
+func (i *Instance) facts() carry.Site {
+	s := carry.Site{Number: i.cfg.Number, Mean: i.cfg.Site.MeanUnits, Most: i.cfg.Site.MostUnits}
+	for _, c := range i.cfg.Site.Classes {
+		s.Classes = append(s.Classes, carry.Class{Name: c.Name, Writes: c.Writes})
+	}
+	return s
+}
+
+// loadLearnt reads what an earlier life left. What cannot be believed is told in one line and treated as none.
+func (l *loop) loadLearnt() {
+	path := l.i.cfg.Learnt
+	if path == "" {
+		return
+	}
+	var r carry.Record
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		l.i.log.Info("no learnt figures", "path", path)
+		return
+	}
+	if err == nil {
+		err = keep.Decode(learntMagic, data, &r)
+	}
+	if err == nil {
+		err = r.Check(l.i.clock().Wall, l.i.facts())
+	}
+	if err != nil {
+		l.i.log.Warn("learnt figures left out", "path", path, "error", err)
+		return
+	}
+	l.before = &r
+}
+
+// recall hands the module what still means the same by a list. Nodes of which it has heard since keep what it
+// learnt of them itself.
+func (l *loop) recall(listed []roster.Entry) {
+	if l.before == nil || len(listed) == 0 {
+		return
+	}
+	learnt := l.before.Over(l.i.facts(), listed)
+	nodes := l.module.Recall(learnt)
+	l.i.log.Info("learnt figures taken over", "nodes", nodes, "of", len(l.before.Nodes),
+		"classes", len(slices.DeleteFunc(learnt.Classes, func(c control.LearntClass) bool { return c.Seen == 0 })),
+		"usual", learnt.Usual.N > 0)
+}
+
+// saveLearnt keeps what was learnt for the next life. A disk that is full costs that life its head start.
+func (l *loop) saveLearnt() {
+	path := l.i.cfg.Learnt
+	if path == "" {
+		return
+	}
+	r := carry.Keep(l.i.clock().Wall, l.i.facts(), l.module.Learnt(), l.view.Keep().Entries)
+	if len(r.Nodes) == 0 {
+		return // a life that heard of no node must not void what an earlier one left
+	}
+	data, err := keep.Encode(learntMagic, r)
+	if err == nil {
+		err = keep.Replace(path, data)
+	}
+	if err != nil {
+		l.i.log.Warn("learnt figures not written", "path", path, "error", err)
+		return
+	}
+	l.i.log.Info("learnt figures written", "path", path, "nodes", len(r.Nodes))
+}
--- /dev/null
+++ b/internal/sched/learnt_test.go
@@ -0,0 +1,224 @@
+package sched
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"landingpaddle/carry"
+	"landingpaddle/control"
+	"landingpaddle/internal/config"
+	"landingpaddle/internal/keep"
+	"landingpaddle/internal/proto"
+)
+
+// after answers each request after a while.
+func after(d time.Duration) func(*proto.Conn, proto.Frame, proto.Request) error {
+	return func(c *proto.Conn, f proto.Frame, q proto.Request) error {
+		if f.Type == proto.TypeRequest {
+			time.AfterFunc(d, func() { _ = echo(c, f, q) })
+		}
+		return nil
+	}
+}
+
+// newShape is a site as deployments of the newer build have it: no peers, no advice, a budget, unsafe writes.
+func newShape() config.Site {
+	s := testSite()
+	s.Limits.Peers, s.Limits.RetryAfter = false, false
+	s.Rules.Budget = &config.Budget{Floor: 3, Ratio: 0.15, Window: 5 * time.Second}
+	s.Rules.DrainGrace = 250 * time.Millisecond
+	s.Share, s.Spare = 0.35, 0.08
+	s.Classes[0].Worth, s.Classes[1].Worth = 3, 2
+	s.Classes[1] = config.Class{Name: "write", Aim: 2 * time.Second, Deadline: 4 * time.Second,
+		Repeat: config.Repeat(control.Unsafe), Writes: true, Worth: 2}
+	return s
+}
+
+// switchOver runs an instance under the old settings until it has learnt of a slow and a quick node, stops it with
+// requests out, and starts one under the new settings. spoil stands between the two lives.
+func switchOver(t *testing.T, spoil func(path string)) (*rig, *caller) {
+	r, path := newRig(t), filepath.Join(t.TempDir(), "learnt")
+	r.node(0, after(60*time.Millisecond))
+	r.node(1, after(5*time.Millisecond))
+	old := r.start(func(cfg *Config) { cfg.Learnt = path })
+	r.logged("cell=0")
+	r.logged("cell=1")
+	c := r.client()
+	for i := range 24 {
+		c.wait(c.ask(func(q *proto.Request) { q.Cell, q.Volume = int32(i%2), uint64(i%2) }))
+	}
+	before := old.Stats.Sends.Load()
+	for range 4 {
+		c.ask(nil)
+	}
+	for old.Stats.Sends.Load() < before+4 {
+		time.Sleep(time.Millisecond)
+	}
+	old.Stop()
+	if err := <-r.ended; err != nil {
+		t.Fatal(err)
+	}
+	<-c.ended
+	c.once() // each request taken before the switch has its one answer
+	if spoil != nil {
+		spoil(path)
+	}
+	r.start(func(cfg *Config) { cfg.Learnt, cfg.Site = path, newShape() })
+	return r, r.client()
+}
+
+// In the first seconds after the switch the instance knows which node is slow, serves reads and unsafe writes, and
+// stops in order; nothing of what a rule hangs on has come over.
+func TestTheFirstSecondsAfterASwitch(t *testing.T) {
+	r, c := switchOver(t, nil)
+	r.logged("learnt figures written")
+	r.logged("learnt figures taken over")
+	if text := r.logs.String(); !strings.Contains(text, "nodes=2 of=2 classes=1 usual=true") {
+		t.Errorf("not told what came over:\n%s", text)
+	}
+	for i := range 20 {
+		class := uint16(i % 2)
+		if a := c.wait(c.ask(func(q *proto.Request) { q.Class, q.Cell = class, int32(i/2%2) })); a.Code != proto.OK {
+			t.Errorf("request %d got %+v", i, a)
+		}
+	}
+	c.once()
+	for range 3 { // what is out when it stops has its answer too
+		c.ask(nil)
+	}
+	for r.inst.Stats.Taken.Load() < 23 {
+		time.Sleep(time.Millisecond)
+	}
+	r.inst.Stop()
+	if err := <-r.ended; err != nil {
+		t.Error(err)
+	}
+	<-c.ended
+	c.once()
+	if n := r.inst.Stats.Overdue.Load(); n != 0 {
+		t.Errorf("%d answers were overdue", n)
+	}
+}
+
+// A life in which nothing was asked leaves the figures of the one before as they are.
+func TestAnIdleLifeVoidsNothing(t *testing.T) {
+	r, path := newRig(t), filepath.Join(t.TempDir(), "learnt")
+	r.node(0, echo)
+	for life := range 2 {
+		r.start(func(cfg *Config) { cfg.Learnt = path })
+		r.logged("node listed")
+		if c := r.client(); life == 0 {
+			c.wait(c.ask(nil))
+		}
+		r.inst.Stop()
+		if err := <-r.ended; err != nil {
+			t.Fatal(err)
+		}
+		var rec carry.Record
+		data, err := os.ReadFile(path)
+		if err == nil {
+			err = keep.Decode(learntMagic, data, &rec)
+		}
+		if err != nil || len(rec.Nodes) != 1 {
+			t.Errorf("life %d: %d nodes, %v", life, len(rec.Nodes), err)
+		}
+	}
+}
+
+// What cannot be believed is told in one line and treated as none; the instance serves all the same.
+func TestASwitchWithoutFiguresToBelieve(t *testing.T) {
+	write := func(magic string, change func(*carry.Record)) func(string) {
+		return func(path string) {
+			var rec carry.Record
+			data, err := os.ReadFile(path)
+			if err == nil {
+				err = keep.Decode(learntMagic, data, &rec)
+			}
+			change(&rec)
+			if err == nil {
+				data, err = keep.Encode(magic, rec)
+			}
+			if err == nil {
+				err = os.WriteFile(path, data, 0o644)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	same := func(*carry.Record) {}
+	for _, c := range []struct {
+		name, told string
+		spoil      func(string)
+	}{
+		{"none", "no learnt figures", func(p string) { _ = os.Remove(p) }},
+		{"damaged", "checksum does not match", func(p string) {
+			data, _ := os.ReadFile(p)
+			data[len(data)-1] ^= 1
+			_ = os.WriteFile(p, data, 0o644)
+		}},
+		{"cut", "bytes follow", func(p string) {
+			data, _ := os.ReadFile(p)
+			_ = os.WriteFile(p, data[:len(data)/2], 0o644)
+		}},
+		{"newer", "does not begin with", write("LPLEARN2", same)},
+		{"foreign", "it is of instance 7", write(learntMagic, func(r *carry.Record) { r.Site.Number = 7 })},
+		{"old", "old, over", write(learntMagic, func(r *carry.Record) { r.Written -= int64(2 * time.Hour) })},
+		{"absurd", "out of range", write(learntMagic, func(r *carry.Record) { r.Median = -1 })},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, client := switchOver(t, c.spoil)
+			r.logged(c.told)
+			for range 4 {
+				if a := client.wait(client.ask(nil)); a.Code != proto.OK {
+					t.Errorf("got %+v", a)
+				}
+			}
+			client.once()
+			if strings.Contains(r.logs.String(), "learnt figures taken over") {
+				t.Error("figures were taken over all the same")
+			}
+			if n := strings.Count(r.logs.String(), "learnt figures left out"); c.name != "none" && n != 1 {
+				t.Errorf("told in %d lines", n)
+			}
+		})
+	}
+}
+
+// A site whose refusals may not say when to come back: the front's own do not either.
+func TestNoAdviceWhereNoneIsAllowed(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		r := newRig(t)
+		r.node(0, after(200*time.Millisecond))
+		inst := r.start(func(cfg *Config) { cfg.Site.Limits.RetryAfter, cfg.Site.Limits.Open = allowed, 1 })
+		r.logged("node listed")
+		c := r.client()
+		c.ask(nil)
+		for inst.Stats.Sends.Load() < 1 {
+			time.Sleep(time.Millisecond)
+		}
+		over := c.wait(c.ask(nil))
+		inst.Stop()
+		r.logged("instance stopping")
+		stopping := c.wait(c.ask(nil))
+		for reason, a := range map[string]proto.Answer{ReasonOverload: over, ReasonStopping: stopping} {
+			if a.Reason != reason || (a.Advice > 0) != allowed {
+				t.Errorf("advice allowed %v: got %+v", allowed, a)
+			}
+		}
+		<-r.ended
+	}
+}
+
+// A site without messages between instances gets none, whoever asks for peers.
+func TestNoPeersWhereNoneAreAllowed(t *testing.T) {
+	site := newShape()
+	_, err := New(Config{Site: site, Listener: newRig(t).listen(), PeerListen: "127.0.0.1:0"})
+	if err == nil || !strings.Contains(fmt.Sprint(err), "peers") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"landingpaddle/carry"
 	"landingpaddle/control"
 	"landingpaddle/extent"
 	"landingpaddle/internal/proto"
@@ -63,6 +64,8 @@
 type loop struct {
 	i       *Instance
 	host    Decider
+	module  *control.Host // the one behind host
+	before  *carry.Record // what an earlier life learnt; nil: nothing to believe
 	set     control.Settings
 	plan    *extent.Planner // nil: no ranged requests
 	view    *roster.Roster
@@ -85,7 +88,7 @@
 func newLoop(ctx context.Context, g *errgroup.Group, i *Instance) *loop {
 	set := i.cfg.Site.Control(i.cfg.Number, i.cfg.Of, i.cfg.Zone, i.link != nil)
 	module := control.New(i.cfg.Seed, set)
-	l := &loop{i: i, host: module, set: set, view: roster.New(i.cfg.Site.Limits.ClockSkew),
+	l := &loop{i: i, host: module, module: module, set: set, view: roster.New(i.cfg.Site.Limits.ClockSkew),
 		pool: newPool(ctx, g, i), reqs: map[uint32]*request{}}
 	if e := i.cfg.Site.Extents; e != nil {
 		l.plan = extent.New(e.Planner())
@@ -110,6 +113,8 @@
 	l.now = l.i.now()
 	l.told = l.now
 	l.tell(l.view.Restore(l.i.clock(), kept))
+	l.loadLearnt()
+	l.recall(kept.Entries)
 	l.decide()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -117,6 +122,7 @@
 	stop := l.i.stop
 	for {
 		if stop == nil && len(l.reqs) == 0 && l.i.front.open.Load() == 0 {
+			l.saveLearnt()
 			return nil
 		}
 		if at, ok := l.timers.next(); ok {
@@ -133,6 +139,7 @@
 			l.i.log.Info("instance stopping", "held", len(l.reqs))
 		case <-stopBy:
 			l.abandon()
+			l.saveLearnt()
 			return nil
 		case <-l.i.in.wake:
 		case <-timer.C:
@@ -236,6 +243,10 @@
 		l.i.list.FetchWhole()
 	case roster.Believed:
 		l.tell(m)
+		if m.Form == control.ListFull { // the first whole list of a life ends what is taken over
+			l.recall(l.view.Keep().Entries)
+			l.before = nil
+		}
 		epoch, version := l.view.Held()
 		l.i.held.Store(&[2]uint64{epoch, version})
 		for _, e := range m.Entries {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -48,6 +48,7 @@
 	Listener   net.Listener // for clients; owned by the instance
 	List       string       // address of the list service
 	Kept       nodelist.File
+	Learnt     string // file of what was learnt; "": nothing is kept
 	PeerListen string // "": no peers
 	Peers      map[uint32]netip.AddrPort
 	StopWithin time.Duration
@@ -85,6 +86,9 @@
 	}
 	i.log = i.log.With("instance", cfg.Number)
 	i.front = newFront(i)
+	if cfg.PeerListen != "" && !cfg.Site.Limits.Peers {
+		return nil, errors.New("peers: the site allows no messages between instances")
+	}
 	if cfg.PeerListen != "" {
 		link, err := peer.Listen(cfg.PeerListen, uint32(cfg.Number), cfg.Peers, cfg.Hooks.Gate)
 		if err != nil {
