New objects keep a slow node's pace, whatever their volume has had

Host.dispatch paced only what starts past the virtual time, so a new object of a volume not ahead always left. Dropped: cold nodes (1% of the sends), placing (each host knows no better node).

--- a/control/control.go
+++ b/control/control.go
@@ -664,8 +664,9 @@
 
 // ---- The ordinary path ----
 
-// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go
-// does not fit, smaller ones behind it may, until what was promoted past it costs as much as it does.
+// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go does not
+// fit, smaller ones may, until what was promoted past it costs as much as it does. A new object is due at no one
+// node, so all keep its pace: where few nodes are left, those of all hosts would starve the reads there.
 func (h *Host) dispatch(s *shard) {
 	n := s.node
 	var head *request
@@ -681,7 +682,7 @@
 			continue
 		}
 		if bound := h.bound(s, r); (n.used > 0 && n.used+r.cost > bound) ||
-			(r.start > s.vt && h.paced(n, bound)) || len(n.out) >= mostDepth {
+			((r.start > s.vt || r.Cell < 0) && h.paced(n, bound)) || len(n.out) >= mostDepth {
 			n.limited = true
 			if head == nil {
 				head = r
@@ -761,8 +762,7 @@
 	return depth + headroom*max(0, 1-spent/headPart)
 }
 
-// earns is what a unit of the request earns against one of the class and plan that earn most, all of it inside
-// the reserve; worths that are not told count alike.
+// earns is what a unit of the request earns against the dearest; worths that are not told count alike.
 func (h *Host) earns(r *request) float64 {
 	part := r.covered / r.Units
 	worth := cmp.Or(r.class.Worth, 1) / cmp.Or(h.mostWorth, 1) * cmp.Or(r.vol.plan.Worth, 1) / cmp.Or(h.mostPlan, 1)
--- a/control/move_test.go
+++ b/control/move_test.go
@@ -242,3 +242,18 @@
 		}
 	}
 }
+
+// New objects may go anywhere, so none is due at one node: where waves of restarts leave few nodes, those of all
+// hosts would gather there and starve the reads that can go nowhere else. They keep the pace, whatever their
+// volume has had; a read of a volume that is not ahead does not wait for it.
+func TestNewObjectsKeepThePaceOfASlowNode(t *testing.T) {
+	set := settings()
+	set.Hosts = 256
+	r := start(t, set, 1)
+	n := r.h.nodes[server(0)]
+	n.latency, n.learntAt, n.heardAt = 700*ms, r.now, r.now
+	n.lastSent, n.everSent = r.now, true
+	r.now += 10 * ms
+	want(t, "a read leaves, a new object is held", sends(r.do(r.ask(func(q *Request) { q.Cell = NewObject }),
+		r.ask(func(q *Request) { q.Volume = 2 }))), 2)
+}
