--- a/control/control.go
+++ b/control/control.go
@@ -37,7 +37,6 @@
 	watchAgain   = time.Second           // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
-	trialGap     = 200 * time.Millisecond // from trial to trial of all hosts where it is full or silent
 	forgetIn     = 500 * time.Millisecond // half of what an old latency tells of a node is forgotten
 	sureMargin   = 10 * time.Millisecond  // two reviews: what must be over by a time is so this much earlier
 	tokenReview  = 1
@@ -1124,7 +1123,7 @@
 		n.resets++
 	case o.Code == ConnectFailed || o.Code == Reset || o.Code == Full || silent:
 		n.fails++
-		n.retryAt = h.now + h.pause(n, o.Code)
+		n.retryAt = h.now + h.pause(n)
 	}
 	switch {
 	case lost: // it would have taken longer, by about the mean
@@ -1155,15 +1154,9 @@
 	h.tide += time.Duration(float64(took-h.tide) / min(tideOver, max(tideOver/2, h.usual.n)))
 }
 
-// pause is how long a node that fails is left alone: growing fourfold, and not in step with other hosts. The
-// trials of many hosts alone would keep one full that turns away or does not answer in time, so all hosts
-// together try it about once in trialGap.
-func (h *Host) pause(n *node, code Code) time.Duration {
-	most := downMost
-	if code == Full || code == TimedOut {
-		most = max(most, time.Duration(float64(trialGap)/h.part(1)))
-	}
-	d := min(most, downFirst<<min(2*(n.fails-1), doublingsMax))
+// pause is how long a node that fails is left alone: growing fourfold, and not in step with other hosts.
+func (h *Host) pause(n *node) time.Duration {
+	d := min(downMost, downFirst<<min(2*(n.fails-1), doublingsMax))
 	return d/2 + time.Duration(h.rng.Int64N(int64(d)))
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -738,18 +738,15 @@
 	}
 }
 
-// A node that is full of work that nobody waits for any more drains only if the trials of all hosts leave it
-// room; they must not come in step either.
-func TestTrialsAtAFullNodeAreSharedByAllHosts(t *testing.T) {
-	set := settings()
-	set.Hosts = 200
-	r := start(t, set, 1)
+// Hosts that lose a node at once must not try it again in step, nor leave it alone for long.
+func TestTrialsOfAFailingNodeAreNotInStep(t *testing.T) {
+	r := start(t, settings(), 1)
 	n := r.h.nodes[server(0)]
 	n.fails = 20
 	seen := map[time.Duration]bool{}
 	for range 20 {
-		d := r.h.pause(n, Full)
-		if even := set.Hosts * int(trialGap); d < time.Duration(even/2) || d > time.Duration(even*3/2) {
+		d := r.h.pause(n)
+		if d < downMost/2 || d > downMost*3/2 {
 			t.Errorf("pause %v", d)
 		}
 		seen[d] = true
@@ -757,9 +754,6 @@
 	if len(seen) < 10 {
 		t.Error("pauses in step")
 	}
-	if d := r.h.pause(n, ConnectFailed); d > 2*downMost {
-		t.Errorf("pause %v at a node that takes no work", d)
-	}
 }
 
 func TestManyHostsPaceTheirSends(t *testing.T) {
