--- a/carry/carry.go
+++ b/carry/carry.go
@@ -1,11 +1,11 @@
-// Package carry decides which figures that an instance has learnt still mean the same in its next life, after a
-// restart or a move to other settings. It does no I/O, reads no clock and starts no goroutine.
+// Package carry decides which figures that an instance has learnt still mean the same in its next life, after
+// a restart or a move to other settings. It does no I/O, reads no clock and starts no goroutine.
 //
-// Carried over: how long the usual request takes at a node, where the same start of the same node is listed and
-// a unit means the same; a class's sizes and times, where a class of that name still reads or writes; what the
-// usual request takes, where the classes are the same. All else starts afresh: depths, failures and pauses
-// hang on the hosts and aims of the day, and stores of limits, reserves, budgets, sends to cold nodes and what
-// may have run are never believed, since a rule hangs on each.
+// Carried over: how long the usual request takes at a node, where the same start of the same node is listed
+// and a unit means the same; a class's sizes and times, where a class of that name still reads or writes;
+// what the usual request takes, where the classes are the same. All else starts afresh: depths, failures and
+// pauses hang on the hosts and aims of the day, and stores of limits, reserves, budgets, sends to cold nodes
+// and what may have run are never believed, since a rule hangs on each.
 package carry
 
 import (
@@ -58,7 +58,8 @@
 
 // Keep makes the record of what was learnt, of the nodes that are listed.
 func Keep(wall int64, site Site, l control.Learnt, listed []roster.Entry) Record {
-	r := Record{Written: wall, Site: site, Classes: l.Classes, Usual: l.Usual, Median: l.Median, Lately: l.Lately}
+	r := Record{Written: wall, Site: site, Classes: l.Classes, Usual: l.Usual, Median: l.Median,
+		Lately: l.Lately}
 	for _, e := range listed {
 		if n, ok := l.Nodes[e.Server]; ok {
 			r.Nodes = append(r.Nodes, Node{e.Server, e.Boot, n})
--- a/carry/carry_test.go
+++ b/carry/carry_test.go
@@ -18,15 +18,17 @@
 
 func listed() []roster.Entry {
 	return []roster.Entry{{Server: server(1), Status: control.Ready, Boot: 10},
-		{Server: server(2), Status: control.Ready, Boot: 20}, {Server: server(3), Status: control.Ready, Boot: 30}}
+		{Server: server(2), Status: control.Ready, Boot: 20},
+		{Server: server(3), Status: control.Ready, Boot: 30}}
 }
 
 const wall = int64(time.Hour) * 1000
 
 func record() Record {
 	fit := control.LearntFit{N: 20, Size: 2, Took: 0.01, Square: 5, Cross: 0.03}
-	l := control.Learnt{Nodes: map[control.Server]control.LearntNode{}, Usual: fit, Median: 9 * time.Millisecond,
-		Lately: 12 * time.Millisecond, Classes: []control.LearntClass{{Mean: 2, Seen: 30, Fit: fit},
+	l := control.Learnt{Nodes: map[control.Server]control.LearntNode{}, Usual: fit,
+		Median: 9 * time.Millisecond, Lately: 12 * time.Millisecond,
+		Classes: []control.LearntClass{{Mean: 2, Seen: 30, Fit: fit},
 			{Mean: 3, Seen: 40, Fit: fit}}}
 	for i := byte(1); i <= 3; i++ {
 		l.Nodes[server(i)] = control.LearntNode{Latency: time.Duration(i) * time.Millisecond}
@@ -56,8 +58,8 @@
 	}
 }
 
-// Figures of classes follow their names; a class that is new, or writes now, starts afresh, and so does what is
-// reckoned over all classes.
+// Figures of classes follow their names; a class that is new, or writes now, starts afresh, and so does what
+// is reckoned over all classes.
 func TestClassesCarryOverByName(t *testing.T) {
 	now := site()
 	now.Classes = []Class{{"write", true}, {"read", true}, {"scan", false}}
--- a/control/control.go
+++ b/control/control.go
@@ -370,8 +370,8 @@
 	}
 }
 
-// forgetNodes drops nodes that have been gone for very long, so that they do not pile up over months. One that
-// is listed again sooner is remembered as it was.
+// forgetNodes drops nodes that have been gone for very long, so that they do not pile up over months. One
+// that is listed again sooner is remembered as it was.
 func (h *Host) forgetNodes() {
 	for len(h.departed) > 0 && h.now-h.departed[0].at >= goneKeep {
 		d := h.departed[0]
@@ -514,9 +514,9 @@
 	return v
 }
 
-// forgetVolumes looks at a few volumes in turn and drops those of which no more is known than of a new one, so
-// that volumes seen once do not pile up. Where each comes once, no virtual time ever passes their tags: over
-// mostVolumes idle ones are dropped all the same, and one that comes again soon may lead by what it had.
+// forgetVolumes looks at a few volumes in turn and drops those of which no more is known than of a new one,
+// so that volumes seen once do not pile up. Where each comes once, no virtual time ever passes their tags:
+// over mostVolumes idle ones are dropped all the same, and one that comes again soon may lead by what it had.
 func (h *Host) forgetVolumes() {
 	for range min(sweepStep, len(h.volumes)) {
 		if h.sweepAt >= len(h.volumes) {
@@ -638,15 +638,15 @@
 }
 
 // place picks the shard for a new object: the least work at hand, in requests, times what the node takes for
-// one. A node that fails most requests fast looks quick and idle, so errors count as wait. Where hosts are many,
-// those that start would all take the first of nodes that look alike: chance tells what is not known apart.
+// one. A node that fails most requests fast looks quick and idle, so errors count as wait. Where hosts are
+// many, those that start would all take the first of nodes that look alike: chance tells the unknown apart.
 func (h *Host) place(r *request) *shard {
 	var best *shard
 	least := math.Inf(1)
 	for _, s := range h.shards {
 		wait := math.MaxFloat64
 		if n := s.node; n != nil && n.fails == 0 && h.bears(n, r.Units) {
-			if wait = h.expect(n, r).Seconds(); len(n.out) > 0 { // a stuck node shows it before its latency does
+			if wait = h.expect(n, r).Seconds(); len(n.out) > 0 { // a stuck node shows it here first
 				wait = max(wait, (h.now - n.out[0].sentAt).Seconds())
 			}
 			wait *= 1 + n.used + s.units/max(h.set.MeanUnits, 1)
@@ -663,9 +663,9 @@
 
 // ---- The ordinary path ----
 
-// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go does not
-// fit, smaller ones may, until what was promoted past it costs as much as it does. A new object is due at no one
-// node, so all keep its pace: where few nodes are left, those of all hosts would starve the reads there.
+// dispatch lets requests leave in tag order while they fit the node's depth. When the first that may go does
+// not fit, smaller ones may, until what was promoted past it costs as much as it does. A new object is due at
+// no one node, so all keep its pace: where few nodes are left, those of all hosts would starve reads there.
 func (h *Host) dispatch(s *shard) {
 	n := s.node
 	var head *request
@@ -713,8 +713,8 @@
 
 // accompany lets held requests leave as members of an operation just sent. A member keeps its tag, plan,
 // limit, patience and turn of its key. It joins in tag order, or ahead of it by no more than its volume's
-// largest request. The operation costs the slots of its size, even beyond the depth, which then holds the next
-// sends back. It ends no later for a member than alone, within the mean deviation.
+// largest request. The operation costs the slots of its size, even beyond the depth, which then holds the
+// next sends back. It ends no later for a member than alone, within the mean deviation.
 func (h *Host) accompany(lead *request, n *node) {
 	s, slots := lead.shard, lead.cost
 	h.company.Beside(lead.ID, func(id uint32, units float64) bool {
@@ -745,8 +745,8 @@
 // of the shortest aim. Of many hosts most are idle at a node at any moment, so it starts high; a jam of all
 // of them must still end. What the work itself takes counts for all alike; the wait beyond it counts more for
 // what earns less, else the patient and cheap fill a slow node and the dear with short aims die there first.
-// A request that starts no later than the virtual time gets more, as its volume has had no more than its share
-// here and a surge through other hosts fills the node as well; the extra shrinks to none as latency grows.
+// A request that starts no later than the virtual time gets more, as its volume has had no more than its
+// share here and a surge through other hosts fills the node as well; the extra shrinks to none with latency.
 func (h *Host) bound(s *shard, r *request) float64 {
 	if h.leastAim <= 0 {
 		return s.node.depth
@@ -764,8 +764,9 @@
 // earns is what a unit of the request earns against the dearest; worths that are not told count alike.
 func (h *Host) earns(r *request) float64 {
 	part := r.covered / r.Units
-	worth := cmp.Or(r.class.Worth, 1) / cmp.Or(h.mostWorth, 1) * cmp.Or(r.vol.plan.Worth, 1) / cmp.Or(h.mostPlan, 1)
-	return worth * math.Sqrt(part+(1-part)*cmp.Or(h.set.ShareWorth, 1))
+	class := cmp.Or(r.class.Worth, 1) / cmp.Or(h.mostWorth, 1)
+	plan := cmp.Or(r.vol.plan.Worth, 1) / cmp.Or(h.mostPlan, 1)
+	return class * plan * math.Sqrt(part+(1-part)*cmp.Or(h.set.ShareWorth, 1))
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
--- a/control/learnt.go
+++ b/control/learnt.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Learnt is what a host has learnt by experience and may hand to its next life: times and sizes, nothing that a
-// rule hangs on. Which of it still means the same is not decided here (package carry).
+// Learnt is what a host has learnt by experience and may hand to its next life: times and sizes, nothing that
+// a rule hangs on. Which of it still means the same is not decided here (package carry).
 type Learnt struct {
 	Nodes   map[Server]LearntNode
 	Classes []LearntClass // by class
@@ -38,8 +38,8 @@
 	return l
 }
 
-// Recall takes figures of an earlier life over, each only where this life has learnt nothing yet, so that it may
-// be called again as nodes become known. It tells how many nodes it took.
+// Recall takes figures of an earlier life over, each only where this life has learnt nothing yet, so that it
+// may be called again as nodes become known. It tells how many nodes it took.
 func (h *Host) Recall(l Learnt) (nodes int) {
 	for id, was := range l.Nodes {
 		if n := h.nodes[id]; n != nil && n.learntAt == 0 && n.Status == Ready {
--- a/control/move_test.go
+++ b/control/move_test.go
@@ -76,8 +76,8 @@
 	n, s := r.fix(8), r.h.shards[0]
 	r.h.calm, s.vt = 200*ms, 1
 	dear := func() *request {
-		return &request{Request: Request{Units: 2}, class: r.h.classes[0], vol: &volume{plan: Plan{Worth: 1.5}},
-			covered: 2, start: 2}
+		return &request{Request: Request{Units: 2}, class: r.h.classes[0], covered: 2, start: 2,
+			vol: &volume{plan: Plan{Worth: 1.5}}}
 	}
 	others := map[string]func(*request){
 		"class":   func(q *request) { q.class = r.h.classes[1] },
@@ -103,7 +103,8 @@
 	set := settings()
 	set.Classes[0].Worth, set.Plans[0].Worth, set.ShareWorth = 0, 0, 0
 	r := start(t, set, 1)
-	if got := r.h.earns(&request{Request: Request{Units: 2}, class: r.h.classes[0], vol: &volume{}}); got != 1 {
+	q := &request{Request: Request{Units: 2}, class: r.h.classes[0], vol: &volume{}}
+	if got := r.h.earns(q); got != 1 {
 		t.Errorf("a unit earns %v of the most, want 1", got)
 	}
 }
@@ -243,9 +244,9 @@
 	}
 }
 
-// New objects may go anywhere, so none is due at one node: where waves of restarts leave few nodes, those of all
-// hosts would gather there and starve the reads that can go nowhere else. They keep the pace, whatever their
-// volume has had; a read of a volume that is not ahead does not wait for it.
+// New objects may go anywhere, so none is due at one node: where waves of restarts leave few nodes, those of
+// all hosts would gather there and starve the reads that can go nowhere else. They keep the pace, whatever
+// their volume has had; a read of a volume that is not ahead does not wait for it.
 func TestNewObjectsKeepThePaceOfASlowNode(t *testing.T) {
 	set := settings()
 	set.Hosts = 256
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -64,13 +64,14 @@
 // Settings that say nothing of worths, advice and peers leave what the module did before it read them.
 func TestDefaultsLeavePresentBehaviour(t *testing.T) {
 	i, err := load(t, "(instance (listen 127.0.0.1:1) (list 127.0.0.1:2)\n"+
-		"(site (class r (aim 1s) (deadline 2s)) (class w (aim 1s) (deadline 2s)) (plan p (rate 1)) (plan q (rate 2))))")
+		"(site (class r (aim 1s) (deadline 2s)) (class w (aim 1s) (deadline 2s))\n"+
+		"(plan p (rate 1)) (plan q (rate 2))))")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s := i.Site.Control(0, 1, 0, false)
-	if s.ShareWorth != 1 || s.Classes[0].Worth != s.Classes[1].Worth || s.Plans[0].Worth != s.Plans[1].Worth ||
-		!s.RetryAfter || s.Budget || !i.Site.Limits.Peers {
+	if s.ShareWorth != 1 || s.Classes[0].Worth != s.Classes[1].Worth ||
+		s.Plans[0].Worth != s.Plans[1].Worth || !s.RetryAfter || s.Budget || !i.Site.Limits.Peers {
 		t.Errorf("settings %+v", s)
 	}
 }
@@ -114,14 +115,17 @@
 			"i.lisp:2:1: nodes that start cold"},
 		{in("\n(site (class r (aim 1s) (deadline 1s) (repeat unsafe) (window 1s)) (plan p (rate 1)))"),
 			"i.lisp:2:7: class r is unsafe; only a keyed class has a (window …)"},
-		{in("\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (share-worth 0.3) (spare-worth 0.4))"),
+		{in("\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1))\n" +
+			"(share-worth 0.3) (spare-worth 0.4))"),
 			"i.lisp:2:1: spare-worth 0.4 is over share-worth 0.3"},
 		{in("\n(site (share-worth 2) (class r (aim 1s) (deadline 1s)) (plan p (rate 1)))"), "i.lisp:2:"},
 		{in("\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (rules (budget (window 5s))))"),
 			"i.lisp:2:1: a budget of nothing"},
-		{in(" (peer-listen 127.0.0.1:3)\n(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (limits (peers no)))"),
+		{in(" (peer-listen 127.0.0.1:3)\n" +
+			"(site (class r (aim 1s) (deadline 1s)) (plan p (rate 1)) (limits (peers no)))"),
 			"i.lisp:1:1: the site has (peers no)"},
-		{in(ok + "(learnt /x) (kept-list /x)"), "i.lisp:1:1: (learnt …) and (kept-list …) name the same file /x"},
+		{in(ok + "(learnt /x) (kept-list /x)"),
+			"i.lisp:1:1: (learnt …) and (kept-list …) name the same file /x"},
 	} {
 		_, err := load(t, c.text)
 		if err == nil || !strings.Contains(err.Error(), c.want) {
--- a/internal/config/programs.go
+++ b/internal/config/programs.go
@@ -70,7 +70,7 @@
 		return fmt.Errorf("zone %s is none of %v", i.Zone, i.Site.Zones)
 	}
 	if !i.Site.Limits.Peers && (i.PeerListen.IsValid() || len(i.Peers) > 0) {
-		return fmt.Errorf("the site has (peers no) in its (limits …): want no (peer-listen …) and no (peer …)")
+		return fmt.Errorf("the site has (peers no): want no (peer-listen …) and no (peer …)")
 	}
 	if i.Learnt != "" && i.Learnt == i.KeptList {
 		return fmt.Errorf("(learnt …) and (kept-list …) name the same file %s", i.Learnt)
--- a/internal/config/site.go
+++ b/internal/config/site.go
@@ -233,12 +233,12 @@
 			s.Limits.Payload)
 	}
 	if s.Spare > s.Share {
-		return fmt.Errorf("spare-worth %v is over share-worth %v: what lies beyond a share earns no more than it",
+		return fmt.Errorf("spare-worth %v is over share-worth %v: beyond a share no more is earned",
 			s.Spare, s.Share)
 	}
 	r := s.Rules
 	if b := r.Budget; b != nil && s.Limits.Attempts > 1 && b.Floor+b.Ratio == 0 {
-		return fmt.Errorf("a budget of nothing allows no further attempt; want (attempts 1) in (limits …) as well")
+		return fmt.Errorf("a budget of nothing allows no further attempt; want (attempts 1) as well")
 	}
 	if r.Ramp > 0 && (r.ColdUnits <= 0 || r.FallWindow <= 0 || r.FallMultiple <= 1) {
 		return fmt.Errorf("nodes that start cold (ramp %v) need cold-units, fall-window, fall-multiple",
--- a/internal/sched/learnt.go
+++ b/internal/sched/learnt.go
@@ -24,7 +24,8 @@
 	return s
 }
 
-// loadLearnt reads what an earlier life left. What cannot be believed is told in one line and treated as none.
+// loadLearnt reads what an earlier life left. What cannot be believed is told in one line and treated as
+// none.
 func (l *loop) loadLearnt() {
 	path := l.i.cfg.Learnt
 	if path == "" {
@@ -57,9 +58,9 @@
 	}
 	learnt := l.before.Over(l.i.facts(), listed)
 	nodes := l.module.Recall(learnt)
+	classes := slices.DeleteFunc(learnt.Classes, func(c control.LearntClass) bool { return c.Seen == 0 })
 	l.i.log.Info("learnt figures taken over", "nodes", nodes, "of", len(l.before.Nodes),
-		"classes", len(slices.DeleteFunc(learnt.Classes, func(c control.LearntClass) bool { return c.Seen == 0 })),
-		"usual", learnt.Usual.N > 0)
+		"classes", len(classes), "usual", learnt.Usual.N > 0)
 }
 
 // saveLearnt keeps what was learnt for the next life. A disk that is full costs that life its head start.
--- a/internal/sched/learnt_test.go
+++ b/internal/sched/learnt_test.go
@@ -38,8 +38,8 @@
 	return s
 }
 
-// switchOver runs an instance under the old settings until it has learnt of a slow and a quick node, stops it with
-// requests out, and starts one under the new settings. spoil stands between the two lives.
+// switchOver runs an instance under the old settings until it has learnt of a slow and a quick node, stops it
+// with requests out, and starts one under the new settings. spoil stands between the two lives.
 func switchOver(t *testing.T, spoil func(path string)) (*rig, *caller) {
 	r, path := newRig(t), filepath.Join(t.TempDir(), "learnt")
 	r.node(0, after(60*time.Millisecond))
@@ -71,8 +71,8 @@
 	return r, r.client()
 }
 
-// In the first seconds after the switch the instance knows which node is slow, serves reads and unsafe writes, and
-// stops in order; nothing of what a rule hangs on has come over.
+// In the first seconds after the switch the instance knows which node is slow, serves reads and unsafe
+// writes, and stops in order; nothing of what a rule hangs on has come over.
 func TestTheFirstSecondsAfterASwitch(t *testing.T) {
 	r, c := switchOver(t, nil)
 	r.logged("learnt figures written")
@@ -82,7 +82,8 @@
 	}
 	for i := range 20 {
 		class := uint16(i % 2)
-		if a := c.wait(c.ask(func(q *proto.Request) { q.Class, q.Cell = class, int32(i/2%2) })); a.Code != proto.OK {
+		a := c.wait(c.ask(func(q *proto.Request) { q.Class, q.Cell = class, int32(i/2%2) }))
+		if a.Code != proto.OK {
 			t.Errorf("request %d got %+v", i, a)
 		}
 	}
