--- a/control/control.go
+++ b/control/control.go
@@ -761,12 +761,13 @@
 	return depth + headroom*max(0, 1-spent/headPart)
 }
 
-// earns is what a unit of the request earns against the dearest; worths that are not told count alike.
+// earns is what a unit of the request earns against the dearest, with its class's worth squared: the cheap
+// class is mostly the patient one, which gets in whenever a jam eases. Worths that are not told count alike.
 func (h *Host) earns(r *request) float64 {
 	part := r.covered / r.Units
 	class := cmp.Or(r.class.Worth, 1) / cmp.Or(h.mostWorth, 1)
 	plan := cmp.Or(r.vol.plan.Worth, 1) / cmp.Or(h.mostPlan, 1)
-	return class * plan * math.Sqrt(part+(1-part)*cmp.Or(h.set.ShareWorth, 1))
+	return class * class * plan * math.Sqrt(part+(1-part)*cmp.Or(h.set.ShareWorth, 1))
 }
 
 // usable tells whether a node may be sent to: listed as ready, and after failures one request at a time.
