--- a/control/control_test.go
+++ b/control/control_test.go
@@ -818,7 +818,7 @@
 // All hosts at once, each sending whatever its guard lets go, must stay within the stated figure in any
 // window, however many they are; and some of it must get through.
 func TestAllHostsTogetherStayWithinTheColdFigure(t *testing.T) {
-	for _, hosts := range []int{2, 10, 19, 57, 220} {
+	for _, hosts := range []int{2, 10, 19, 57, 170, 230} {
 		set := coldSettings()
 		set.Hosts, set.FallMultiple = hosts, 2.5
 		var sent []mark
--- a/control/move_test.go
+++ b/control/move_test.go
@@ -258,3 +258,31 @@
 	want(t, "a read leaves, a new object is held", sends(r.do(r.ask(func(q *Request) { q.Cell = NewObject }),
 		r.ask(func(q *Request) { q.Volume = 2 }))), 2)
 }
+
+// With 250 ms to stop, what was held, placed or waits for a further attempt when a drain is told must not
+// reach the node either: a new object goes elsewhere or nowhere, and a probe of none.
+func TestADrainWithLittleGraceStopsWhatIsHeld(t *testing.T) {
+	set := settings()
+	set.DrainGrace, set.Probes = 250*ms, true
+	r := start(t, set, 1)
+	n := r.fix(1)
+	r.do(r.ask(nil), r.ask(nil), r.ask(func(q *Request) { q.Cell = NewObject }))
+	if len(n.out) == 0 || len(r.h.shards[0].queue) == 0 {
+		t.Fatalf("%d out, %d held: the test needs both", len(n.out), len(r.h.shards[0].queue))
+	}
+	before := len(r.acts)
+	r.do(Members{Form: ListDelta, Entries: []Entry{entry(0, Draining)}})
+	r.done(1, 0, 0, Error, ms) // would be tried again
+	for range 8 {
+		r.pass(500 * ms)
+	}
+	for _, a := range r.acts[before:] {
+		switch a := a.(type) {
+		case Send, Probe:
+			t.Errorf("after the drain was told: %#v", a)
+		}
+	}
+	if got := len(ends(r.acts)); got != 3 {
+		t.Errorf("%d final answers, want 3: %v", got, ends(r.acts))
+	}
+}
