A lost operation is learnt from once, by its lead

Found on rereading: when Host.judge was split at the move, the check that a member of an operation teaches nothing was left out for lost attempts, so each member of a lost operation added to its node's latency again. Both ways now part after one check, and share what they do alike. The test fails without it (460 ms for 220 ms).

--- a/control/company_test.go
+++ b/control/company_test.go
@@ -81,6 +81,21 @@
 	}
 }
 
+// An operation that is lost is one lost attempt: its members add nothing to what its lead added.
+func TestALostOperationIsLearntFromOnce(t *testing.T) {
+	r, c, n := crowded(t, settings())
+	n.latency = 100 * ms
+	r.do(c.add(r.ask(nil)), c.add(r.ask(nil)), c.add(r.ask(nil)))
+	r.now += time.Second
+	for id := uint32(1); id <= 3; id++ {
+		r.h.review = false
+		r.h.Handle(r.now, Outcome{ID: id, Server: server(0), Code: TimedOut, Took: time.Second})
+	}
+	if want := 100*ms + time.Duration(lostWeight*float64(time.Second)); n.latency != want {
+		t.Errorf("latency %v, want %v", n.latency, want)
+	}
+}
+
 // An operation that fails is one failure of its node, and its members are repeated alone.
 func TestAFailedOperationsMembersAreRepeatedAlone(t *testing.T) {
 	r, c, n := crowded(t, settings())
--- a/control/control.go
+++ b/control/control.go
@@ -1127,15 +1127,15 @@
 		n.fails++
 		n.retryAt = h.now + h.pause(n)
 	}
-	switch {
-	case lost: // it would have taken longer, by about the mean
+	if r.lead != nil || (!lost && (o.Code != OK || h.stalled)) {
+		return // an operation is learnt from once, by its lead
+	}
+	if lost { // it would have taken longer, by about the mean
 		if n.fails <= 1 { // nodes that are cut off must not speak for all
 			h.follow(min(o.Took, 2*h.tide))
 		}
 		n.latency += time.Duration(lostWeight * float64(o.Took))
-		n.learntAt = h.now
-		h.adapt(n)
-	case r.lead == nil && o.Code == OK && !h.stalled:
+	} else {
 		took := o.Took - h.extra(r.class, r.load)
 		r.class.fit.add(r.load, o.Took.Seconds())
 		h.usual.add(r.load, o.Took.Seconds())
@@ -1143,9 +1143,9 @@
 		off := took - n.latency
 		n.latency += time.Duration(learnWeight * float64(off))
 		n.deviation += time.Duration(learnWeight * float64(max(off, -off)-n.deviation))
-		n.learntAt = h.now
-		h.adapt(n)
 	}
+	n.learntAt = h.now
+	h.adapt(n)
 }
 
 // follow notes how long the usual request takes at nodes now: the running median stands for the work itself,
