Kept files are read in one place, learnt figures written in one

keep.Read serves the start of an instance and two tests that wrote the same lines; what was learnt is written where an orderly stop is carried out, not at both of the loop's ends; carry looks a node's start up instead of going through the list for each.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -116,10 +116,14 @@
 	if r.Site.Mean != now.Mean || r.Site.Most != now.Most {
 		return out // a unit means something else: so does every size, and every time reckoned by sizes
 	}
+	starts := map[control.Server]int64{}
+	for _, e := range listed {
+		if e.Status == control.Ready {
+			starts[e.Server] = e.Boot
+		}
+	}
 	for _, n := range r.Nodes {
-		if slices.ContainsFunc(listed, func(e roster.Entry) bool {
-			return e.Server == n.Server && e.Boot == n.Boot && e.Status == control.Ready
-		}) {
+		if boot, ready := starts[n.Server]; ready && boot == n.Boot {
 			out.Nodes[n.Server] = n.Learnt
 		}
 	}
--- a/control/move_test.go
+++ b/control/move_test.go
@@ -260,7 +260,7 @@
 }
 
 // With 250 ms to stop, what was held, placed or waits for a further attempt when a drain is told must not
-// reach the node either: a new object goes elsewhere or nowhere, and a probe of none.
+// reach the node either: nor may a probe.
 func TestADrainWithLittleGraceStopsWhatIsHeld(t *testing.T) {
 	set := settings()
 	set.DrainGrace, set.Probes = 250*ms, true
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -59,6 +59,15 @@
 	return nil
 }
 
+// Read reads a file. One that is not there is an error by errors.Is(err, fs.ErrNotExist).
+func Read(path, magic string, to any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return Decode(magic, data, to)
+}
+
 // Replace writes a file beside the old one, makes it durable and puts it in the old one's place.
 func Replace(path string, data []byte) (err error) {
 	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
--- a/internal/sched/learnt.go
+++ b/internal/sched/learnt.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io/fs"
-	"os"
 	"slices"
 
 	"landingpaddle/carry"
@@ -32,14 +31,11 @@
 		return
 	}
 	var r carry.Record
-	data, err := os.ReadFile(path)
+	err := keep.Read(path, learntMagic, &r)
 	if errors.Is(err, fs.ErrNotExist) {
 		l.i.log.Info("no learnt figures", "path", path)
 		return
 	}
-	if err == nil {
-		err = keep.Decode(learntMagic, data, &r)
-	}
 	if err == nil {
 		err = r.Check(l.i.clock().Wall, l.i.facts())
 	}
--- a/internal/sched/learnt_test.go
+++ b/internal/sched/learnt_test.go
@@ -120,11 +120,7 @@
 			t.Fatal(err)
 		}
 		var rec carry.Record
-		data, err := os.ReadFile(path)
-		if err == nil {
-			err = keep.Decode(learntMagic, data, &rec)
-		}
-		if err != nil || len(rec.Nodes) != 1 {
+		if err := keep.Read(path, learntMagic, &rec); err != nil || len(rec.Nodes) != 1 {
 			t.Errorf("life %d: %d nodes, %v", life, len(rec.Nodes), err)
 		}
 	}
@@ -135,11 +131,9 @@
 	write := func(magic string, change func(*carry.Record)) func(string) {
 		return func(path string) {
 			var rec carry.Record
-			data, err := os.ReadFile(path)
-			if err == nil {
-				err = keep.Decode(learntMagic, data, &rec)
-			}
+			err := keep.Read(path, learntMagic, &rec)
 			change(&rec)
+			var data []byte
 			if err == nil {
 				data, err = keep.Encode(magic, rec)
 			}
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -122,7 +122,6 @@
 	stop := l.i.stop
 	for {
 		if stop == nil && len(l.reqs) == 0 && l.i.front.open.Load() == 0 {
-			l.saveLearnt()
 			return nil
 		}
 		if at, ok := l.timers.next(); ok {
@@ -139,7 +138,6 @@
 			l.i.log.Info("instance stopping", "held", len(l.reqs))
 		case <-stopBy:
 			l.abandon()
-			l.saveLearnt()
 			return nil
 		case <-l.i.in.wake:
 		case <-timer.C:
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -156,8 +156,10 @@
 		g.Go(func() error { return i.link.Run(run, func(p control.Peer) { i.in.putPeer(p) }) })
 	}
 	g.Go(func() error {
-		err := newLoop(run, g, i).run(run)
+		l := newLoop(run, g, i)
+		err := l.run(run)
 		if err == nil {
+			l.saveLearnt()
 			i.front.bye("stopping")
 			select { // answers on their way out are given a moment
 			case <-time.After(time.Second):
