The owner loop states its edges as interfaces; the native protocol is one implementation

Need: the platform's protocol must be one more way in and out of the same loop. Change: sched.Core holds the module, the loop, its inbox and counters; Caller, Nodes, List and Peers are what it carries actions out with; the native front, pool, list client and datagrams implement them. A call carries the module's terms, no frame.

--- /dev/null
+++ b/internal/sched/edges.go
@@ -0,0 +1,103 @@
+package sched
+
+import (
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/extent"
+	"landingpaddle/internal/proto"
+	"landingpaddle/roster"
+)
+
+// Edges are what the loop carries the module's actions out with. The native protocol is one implementation,
+// the platform's another. The loop calls them from its one goroutine; none of them may block.
+type Edges struct {
+	Nodes Nodes
+	List  List
+	Peers Peers // nil: no messages between instances
+}
+
+// Caller waits for the answer of a call.
+type Caller interface {
+	// Answer gives the call its one final answer. The loop calls it once.
+	Answer(a proto.Answer, payload []byte)
+}
+
+// Nodes carries attempts out. Each operation sent gets one Ended, unless it was called off before.
+type Nodes interface {
+	Send(op *Operation)
+	// CallOff ends an operation that nobody waits for any more.
+	CallOff(op *Operation)
+	CallOffMember(op *Operation, place int)
+	Probe(s control.Server) // answered by Probed
+	CloseIdle(s control.Server)
+}
+
+// List watches and fetches the list of nodes. What it hears goes to Hear, what fails to ListFailed.
+type List interface {
+	Watch(on bool)
+	Fetch()
+	FetchWhole() // a change could not be followed: the whole list is needed
+}
+
+// Peers tells other instances.
+type Peers interface {
+	Send(to uint32, body []byte) error
+}
+
+// Call is one client's request on its way through the scheduler.
+type Call struct {
+	Caller Caller
+	Ask    control.Request // all but ID and Expires
+	At     time.Duration   // when it was read,
+	Wait   time.Duration   // and how long its client waits from then on
+	Token  uint64          // by which logs name it
+	Range  *extent.Range   // of a ranged request;
+	Data   uint64          // and the volume whose bytes are meant
+
+	// The rest is the loop's.
+	id      uint64     // of a ranged request, by which the planner knows it; 0: another
+	reqs    []*request // one, or those of its pieces
+	overdue *timer
+	done    bool // has its answer
+}
+
+// Admit counts one more call as open, unless the scheduler stops or most are open: then it returns the
+// reason. A call that was admitted must be handed on by Take.
+func (c *Core) Admit(most int) (reason string) {
+	// Counted first, then looked whether the scheduler stops: the loop ends only when it sees none counted.
+	open := c.open.Add(1)
+	switch {
+	case c.stopping():
+		c.open.Add(-1)
+		return ReasonStopping
+	case open > int64(most):
+		c.open.Add(-1)
+		return ReasonOverload
+	}
+	c.Stats.Taken.Add(1)
+	return ""
+}
+
+// Take hands an admitted call to the loop.
+func (c *Core) Take(k *Call) { c.in.put(k) }
+
+// Left tells that a call's client is gone or wants no answer any more.
+func (c *Core) Left(k *Call) { c.in.put(departed{k}) }
+
+// Ended tells how an operation ended.
+func (c *Core) Ended(op *Operation, code control.Code, a proto.Answer, payload []byte) {
+	c.in.put(result{op, code, a, payload})
+}
+
+// Hear takes news of the list in.
+func (c *Core) Hear(n roster.News) { c.in.put(n) }
+
+// ListFailed tells that a watch broke or a fetch failed.
+func (c *Core) ListFailed(err error) { c.in.put(listFailed{err}) }
+
+// Probed tells the result of a probe.
+func (c *Core) Probed(p control.Probed) { c.in.put(p) }
+
+// Heard takes a message of another instance in.
+func (c *Core) Heard(p control.Peer) { c.in.putPeer(p) }
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -5,40 +5,37 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"landingpaddle/control"
+	"landingpaddle/extent"
 	"landingpaddle/internal/proto"
 )
 
-// call is one client's request on its way through the instance.
-type call struct {
+// stream is one client's request as it came on its connection.
+type stream struct {
+	front   *front
+	call    *Call
 	client  *client
 	stream  uint64
 	req     proto.Request
 	payload []byte
-	write   bool          // by itself or by its class
-	at      time.Duration // when it was read
-
-	// The rest is the loop's.
-	id      uint64     // of a ranged request, by which the planner knows it; 0: another
-	reqs    []*request // one, or those of its pieces
-	overdue *timer
-	done    bool // has its answer
+	write   bool // by itself or by its class
 }
 
+// waiting is the stream that waits for an attempt's request.
+func waiting(a *attempt) *stream { return a.req.call.Caller.(*stream) }
+
 // client is one client's connection.
 type client struct {
 	conn  *proto.Conn
 	mu    sync.Mutex
-	calls map[uint64]*call
+	calls map[uint64]*Call
 }
 
 // front takes requests from clients, bounds them and hands them to the loop.
 type front struct {
-	i    *Instance
-	open atomic.Int64 // requests taken and not answered
+	i *Instance
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
@@ -79,7 +76,7 @@
 func (f *front) empty() <-chan struct{} { return f.none }
 
 func (f *front) session(ctx context.Context, conn *proto.Conn) {
-	c := &client{conn: conn, calls: map[uint64]*call{}}
+	c := &client{conn: conn, calls: map[uint64]*Call{}}
 	f.mu.Lock()
 	f.clients[c] = struct{}{}
 	f.mu.Unlock()
@@ -123,7 +120,8 @@
 	if err := c.conn.Open(fr.Stream); err != nil {
 		return err
 	}
-	k := &call{client: c, stream: fr.Stream, payload: fr.Payload, at: f.i.now()}
+	k := &stream{front: f, client: c, stream: fr.Stream, payload: fr.Payload}
+	at := f.i.now()
 	if err := fr.Decode(&k.req); err != nil {
 		return err
 	}
@@ -142,27 +140,33 @@
 	if why := f.bad(k); why != "" {
 		return refuse(why, 0)
 	}
-	// Counted first, then looked whether the instance stops: the loop ends only when it sees none counted.
-	open := f.open.Add(1)
-	switch {
-	case f.i.stopping():
-		f.open.Add(-1)
-		return refuse(ReasonStopping, advice)
-	case open > int64(lim.Open):
-		f.open.Add(-1)
-		return refuse(ReasonOverload, advice)
+	if why := f.i.Admit(lim.Open); why != "" {
+		return refuse(why, advice)
 	}
+	k.call = k.asCall(at)
 	c.mu.Lock()
-	c.calls[fr.Stream] = k
+	c.calls[fr.Stream] = k.call
 	c.mu.Unlock()
-	f.i.Stats.Taken.Add(1)
-	f.i.in.put(k)
+	f.i.Take(k.call)
 	return nil
 }
 
+// asCall is the request as the loop takes it.
+func (k *stream) asCall(at time.Duration) *Call {
+	q := &k.req
+	call := &Call{Caller: k, At: at, Wait: q.Wait, Token: q.Token, Data: q.Of(),
+		Ask: control.Request{Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0, Write: k.write,
+			Writers: int(q.Writers), Plan: int(q.Plan), Key: q.Key, Volume: q.Volume,
+			Units: float64(q.Units)}}
+	if q.Ranged {
+		call.Range = &extent.Range{Offset: q.Offset, Length: uint64(q.Length)}
+	}
+	return call
+}
+
 // bad bounds what a client states, and notes whether it writes; "" is good. How a range is cut, and whether
 // that goes, the planner says.
-func (f *front) bad(k *call) string {
+func (f *front) bad(k *stream) string {
 	q, site := &k.req, &f.i.cfg.Site
 	if int(q.Class) >= len(site.Classes) || int(q.Plan) >= len(site.Plans) || q.Units == 0 ||
 		float64(q.Units) > site.MostUnits || q.Wait <= 0 || q.Wait > time.Hour ||
@@ -186,9 +190,8 @@
 	return ""
 }
 
-// answer gives a call its one final answer. Only the loop calls it, once a call.
-func (f *front) answer(k *call, a proto.Answer, payload []byte) {
-	f.open.Add(-1)
+// Answer gives the request its one final answer.
+func (k *stream) Answer(a proto.Answer, payload []byte) {
 	k.client.mu.Lock()
 	delete(k.client.calls, k.stream)
 	k.client.mu.Unlock()
@@ -198,7 +201,8 @@
 		a = proto.Answer{Code: proto.Failed, Reason: ReasonTooLarge}
 		_ = k.client.conn.Post(proto.TypeAnswer, k.stream, a, nil) // a closed connection has its own end
 	}
-	if hook := f.i.cfg.Hooks.Answered; hook != nil {
+	if hook := k.front.i.cfg.Hooks.Answered; hook != nil {
 		hook(k.client.conn, k.stream, a, payload)
 	}
+	k.payload = nil
 }
--- a/internal/sched/learnt.go
+++ b/internal/sched/learnt.go
@@ -26,21 +26,21 @@
 // loadLearnt reads what an earlier life left. What cannot be believed is told in one line and treated as
 // none.
 func (l *loop) loadLearnt() {
-	path := l.i.cfg.Learnt
+	path := l.c.cfg.Learnt
 	if path == "" {
 		return
 	}
 	var r carry.Record
 	err := keep.Read(path, learntMagic, &r)
 	if errors.Is(err, fs.ErrNotExist) {
-		l.i.log.Info("no learnt figures", "path", path)
+		l.c.log.Info("no learnt figures", "path", path)
 		return
 	}
 	if err == nil {
-		err = r.Check(l.i.clock().Wall, l.i.facts())
+		err = r.Check(l.c.clock().Wall, l.c.cfg.Facts)
 	}
 	if err != nil {
-		l.i.log.Warn("learnt figures left out", "path", path, "error", err)
+		l.c.log.Warn("learnt figures left out", "path", path, "error", err)
 		return
 	}
 	l.before = &r
@@ -52,20 +52,20 @@
 	if l.before == nil || len(listed) == 0 {
 		return
 	}
-	learnt := l.before.Over(l.i.facts(), listed)
+	learnt := l.before.Over(l.c.cfg.Facts, listed)
 	nodes := l.module.Recall(learnt)
 	classes := slices.DeleteFunc(learnt.Classes, func(c control.LearntClass) bool { return c.Seen == 0 })
-	l.i.log.Info("learnt figures taken over", "nodes", nodes, "of", len(l.before.Nodes),
+	l.c.log.Info("learnt figures taken over", "nodes", nodes, "of", len(l.before.Nodes),
 		"classes", len(classes), "usual", learnt.Usual.N > 0)
 }
 
 // saveLearnt keeps what was learnt for the next life. A disk that is full costs that life its head start.
 func (l *loop) saveLearnt() {
-	path := l.i.cfg.Learnt
+	path := l.c.cfg.Learnt
 	if path == "" {
 		return
 	}
-	r := carry.Keep(l.i.clock().Wall, l.i.facts(), l.module.Learnt(), l.view.Keep().Entries)
+	r := carry.Keep(l.c.clock().Wall, l.c.cfg.Facts, l.module.Learnt(), l.view.Keep().Entries)
 	if len(r.Nodes) == 0 {
 		return // a life that heard of no node must not void what an earlier one left
 	}
@@ -74,8 +74,8 @@
 		err = keep.Replace(path, data)
 	}
 	if err != nil {
-		l.i.log.Warn("learnt figures not written", "path", path, "error", err)
+		l.c.log.Warn("learnt figures not written", "path", path, "error", err)
 		return
 	}
-	l.i.log.Info("learnt figures written", "path", path, "nodes", len(r.Nodes))
+	l.c.log.Info("learnt figures written", "path", path, "nodes", len(r.Nodes))
 }
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"landingpaddle/carry"
 	"landingpaddle/control"
 	"landingpaddle/extent"
@@ -15,9 +13,10 @@
 	"landingpaddle/roster"
 )
 
-// What reaches the loop beside *call, control.Peer and roster.News.
+// What reaches the loop beside *Call, control.Peer, control.Probed, roster.News and what an edge wants done
+// on the loop (a func).
 type (
-	departed   struct{ call *call } // the client left or called off
+	departed   struct{ call *Call } // the client left or called off
 	listFailed struct{ err error }
 	notice     struct { // a node told on its connection that it drains
 		server control.Server
@@ -25,18 +24,18 @@
 	}
 	greeted notice   // a node's greeting told of this start
 	result  struct { // an operation ended
-		op      *operation
+		op      *Operation
 		code    control.Code
 		answer  proto.Answer
 		payload []byte
 	}
-	begun struct{ op *operation } // a streamed answer has begun
+	begun struct{ op *Operation } // a streamed answer has begun
 )
 
 // request is what the module knows as one: a call, or a piece of a ranged call, until it has its end and no
 // attempt of it is out.
 type request struct {
-	call    *call
+	call    *Call
 	piece   extent.Piece // of a ranged call
 	id      uint32
 	expires time.Duration
@@ -51,7 +50,7 @@
 // attempt is one send of one request.
 type attempt struct {
 	req      *request
-	op       *operation
+	op       *Operation
 	n        int
 	server   control.Server
 	at       time.Duration
@@ -62,19 +61,19 @@
 
 // loop owns the module and all state of requests. It never blocks on a socket.
 type loop struct {
-	i       *Instance
+	c       *Core
+	edges   Edges
 	host    Decider
 	module  *control.Host // the one behind host
 	before  *carry.Record // what an earlier life learnt; nil: nothing to believe
 	set     control.Settings
 	plan    *extent.Planner // nil: no ranged requests
 	view    *roster.Roster
-	pool    *pool
 	timers  timers
 	nextID  uint32
 	wholes  uint64
 	reqs    map[uint32]*request
-	leaving []*operation  // of this batch
+	leaving []*Operation  // of this batch
 	now     time.Duration // of this batch
 	fresh   bool          // the module was told of something
 	spare   []any
@@ -85,16 +84,16 @@
 // tellEvery is how often an instance that works logs its counters.
 const tellEvery = time.Minute
 
-func newLoop(ctx context.Context, g *errgroup.Group, i *Instance) *loop {
-	set := i.cfg.Site.Control(i.cfg.Number, i.cfg.Of, i.cfg.Zone, i.link != nil)
-	module := control.New(i.cfg.Seed, set)
-	l := &loop{i: i, host: module, module: module, set: set, view: roster.New(i.cfg.Site.Limits.ClockSkew),
-		pool: newPool(ctx, g, i), reqs: map[uint32]*request{}}
-	if e := i.cfg.Site.Extents; e != nil {
-		l.plan = extent.New(e.Planner())
+func newLoop(c *Core, edges Edges) *loop {
+	set := c.cfg.Settings
+	module := control.New(c.cfg.Seed, set)
+	l := &loop{c: c, edges: edges, host: module, module: module, set: set, view: roster.New(c.cfg.ClockSkew),
+		reqs: map[uint32]*request{}}
+	if e := c.cfg.Extents; e != nil {
+		l.plan = extent.New(*e)
 		module.Accompany(l.plan)
 	}
-	if wrap := i.cfg.Hooks.Decider; wrap != nil {
+	if wrap := c.cfg.Hooks.Decider; wrap != nil {
 		l.host = wrap(set, module)
 	}
 	return l
@@ -102,30 +101,35 @@
 
 // run gathers what happens into batches until the instance has stopped in order or ctx ends.
 func (l *loop) run(ctx context.Context) error {
-	var kept roster.Kept
-	if l.i.cfg.Kept.Path != "" {
-		k, err := l.i.cfg.Kept.Load()
+	kept := l.c.cfg.Known
+	if l.c.cfg.Kept.Path != "" {
+		k, err := l.c.cfg.Kept.Load()
 		if err != nil {
-			l.i.log.Warn("kept list left out", "error", err)
+			l.c.log.Warn("kept list left out", "error", err)
 		}
 		kept = k
 	}
-	l.now = l.i.now()
+	l.now = l.c.now()
 	l.told = l.now
-	l.tell(l.view.Restore(l.i.clock(), kept))
+	l.tell(l.view.Restore(l.c.clock(), kept))
+	if l.c.cfg.OneList {
+		l.view.Continue()
+		l.holds()
+	}
 	l.loadLearnt()
 	l.recall(kept.Entries)
 	l.decide()
+	close(l.c.ready)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var stopBy <-chan time.Time
-	stop := l.i.stop
+	stop := l.c.stop
 	for {
-		if stop == nil && len(l.reqs) == 0 && l.i.front.open.Load() == 0 {
+		if stop == nil && len(l.reqs) == 0 && l.c.open.Load() == 0 {
 			return nil
 		}
 		if at, ok := l.timers.next(); ok {
-			timer.Reset(max(0, at-l.i.now()))
+			timer.Reset(max(0, at-l.c.now()))
 		} else {
 			timer.Reset(time.Hour)
 		}
@@ -134,19 +138,19 @@
 			return context.Cause(ctx)
 		case <-stop:
 			stop = nil
-			stopBy = time.After(l.i.cfg.StopWithin)
-			l.i.log.Info("instance stopping", "held", len(l.reqs))
+			stopBy = time.After(l.c.cfg.StopWithin)
+			l.c.log.Info("instance stopping", "held", len(l.reqs))
 		case <-stopBy:
 			l.abandon()
 			return nil
-		case <-l.i.in.wake:
+		case <-l.c.in.wake:
 		case <-timer.C:
 		}
-		if wait := l.last + l.i.cfg.Site.Limits.Tick - l.i.now(); wait > 0 {
+		if wait := l.last + l.c.cfg.Tick - l.c.now(); wait > 0 {
 			time.Sleep(wait)
 		}
-		if l.i.cfg.Hooks.Gate != nil {
-			l.i.cfg.Hooks.Gate()
+		if l.c.cfg.Hooks.Gate != nil {
+			l.c.cfg.Hooks.Gate()
 		}
 		l.batch()
 	}
@@ -155,8 +159,8 @@
 // batch hands all that has happened to the module and carries out what it asks for. Answers go before
 // time-outs that are due in the same batch: what was served was served.
 func (l *loop) batch() {
-	l.now = l.i.now()
-	items := l.i.in.take(l.spare)
+	l.now = l.c.now()
+	items := l.c.in.take(l.spare)
 	for _, item := range items {
 		l.item(item)
 	}
@@ -168,14 +172,14 @@
 	if l.fresh {
 		// Carrying out told the module something (an attempt called off has its outcome at once): what it
 		// wants done about that must not wait for the next thing to happen.
-		l.i.in.ring()
+		l.c.in.ring()
 	}
 	l.count()
 	if l.now-l.told >= tellEvery {
 		l.told = l.now
-		l.i.log.Info("counters", "all", &l.i.Stats)
+		l.c.log.Info("counters", "all", &l.c.Stats)
 	}
-	l.last = l.i.now()
+	l.last = l.c.now()
 }
 
 func (l *loop) tell(ev control.Event) {
@@ -185,7 +189,7 @@
 
 func (l *loop) decide() {
 	l.fresh = false
-	l.i.Stats.Batches.Add(1)
+	l.c.Stats.Batches.Add(1)
 	for _, a := range l.host.Decide(l.now) {
 		l.act(a)
 	}
@@ -194,7 +198,7 @@
 
 func (l *loop) item(item any) {
 	switch x := item.(type) {
-	case *call:
+	case *Call:
 		l.take(x)
 	case departed:
 		l.left(x.call)
@@ -209,56 +213,59 @@
 	case roster.News:
 		l.news(x)
 	case listFailed:
-		l.i.log.Warn("list call failed", "error", x.err)
+		l.c.log.Warn("list call failed", "error", x.err)
 		l.tell(control.Members{Form: control.ListFailed})
 	case notice:
-		if m, ok := l.view.Notice(l.i.clock(), x.server, x.boot); ok {
-			l.i.log.Info("node drains", "node", addrText(x.server), "told by", "node")
+		if m, ok := l.view.Notice(l.c.clock(), x.server, x.boot); ok {
+			l.c.log.Info("node drains", "node", addrText(x.server), "told by", "node")
 			l.tell(m)
 		}
 	case greeted:
-		if m, ok := l.view.Greeted(l.i.clock(), x.server, x.boot); ok {
-			l.i.log.Info("node restarted", "node", addrText(x.server), "told by", "node")
+		if m, ok := l.view.Greeted(l.c.clock(), x.server, x.boot); ok {
+			l.c.log.Info("node restarted", "node", addrText(x.server), "told by", "node")
 			l.tell(m)
 		}
 	case control.Peer:
 		l.tell(x)
-	case dialed:
-		l.pool.dialed(l, x)
-	case dropped:
-		l.pool.dropped(x.conn)
+	case func(*loop):
+		x(l)
 	case control.Probed:
 		l.tell(x)
 	}
 }
 
 func (l *loop) news(n roster.News) {
-	m, verdict := l.view.Hear(l.i.clock(), n)
+	m, verdict := l.view.Hear(l.c.clock(), n)
 	switch verdict {
 	case roster.Gap:
-		l.i.log.Info("list has a gap", "version", n.Version, "since", n.Since)
-		l.i.held.Store(&[2]uint64{})
-		l.i.list.FetchWhole()
+		l.c.log.Info("list has a gap", "version", n.Version, "since", n.Since)
+		l.c.held.Store(&[2]uint64{})
+		l.edges.List.FetchWhole()
 	case roster.Believed:
 		l.tell(m)
 		if m.Form == control.ListFull { // the first whole list of a life ends what is taken over
 			l.recall(l.view.Keep().Entries)
 			l.before = nil
 		}
-		epoch, version := l.view.Held()
-		l.i.held.Store(&[2]uint64{epoch, version})
+		l.holds()
 		for _, e := range m.Entries {
-			l.i.log.Info("node listed", "node", addrText(e.Server), "status", e.Status.String(),
+			l.c.log.Info("node listed", "node", addrText(e.Server), "status", e.Status.String(),
 				"cell", e.Cell)
 		}
 		select {
-		case <-l.i.kept: // an older list that was not written yet
+		case <-l.c.kept: // an older list that was not written yet
 		default:
 		}
-		l.i.kept <- l.view.Keep()
+		l.c.kept <- l.view.Keep()
 	}
 }
 
+// holds tells the edges which version of the list is held.
+func (l *loop) holds() {
+	epoch, version := l.view.Held()
+	l.c.held.Store(&[2]uint64{epoch, version})
+}
+
 // id hands out a number by which the module knows a request.
 func (l *loop) id() uint32 {
 	for {
@@ -269,14 +276,12 @@
 	}
 }
 
-func (l *loop) take(k *call) {
-	q := &k.req
-	expires := k.at + q.Wait - l.i.cfg.Site.Limits.Transit
-	k.overdue = l.timers.set(expires+l.i.cfg.Site.Rules.AnswerSlack, func() { l.overdue(k) })
-	ask := control.Request{Class: int(q.Class), Cell: int(q.Cell), Repeat: q.Try > 0, Write: k.write,
-		Writers: int(q.Writers), Plan: int(q.Plan), Key: q.Key, Expires: expires, Volume: q.Volume,
-		Units: float64(q.Units)}
-	if !q.Ranged {
+func (l *loop) take(k *Call) {
+	expires := k.At + k.Wait - l.c.cfg.Transit
+	k.overdue = l.timers.set(expires+l.c.cfg.AnswerSlack, func() { l.overdue(k) })
+	ask := k.Ask
+	ask.Expires = expires
+	if k.Range == nil {
 		r := &request{call: k, id: l.id(), expires: expires}
 		l.reqs[r.id], k.reqs = r, []*request{r}
 		ask.ID = r.id
@@ -284,11 +289,11 @@
 		return
 	}
 	l.wholes++
-	pieces, err := l.plan.Take(extent.Request{ID: l.wholes, Data: q.Of(),
-		Range: extent.Range{Offset: q.Offset, Length: uint64(q.Length)}, Write: ask.Write, Class: ask.Class,
-		Plan: ask.Plan, Units: int(q.Units), At: k.at, Harmless: l.set.Classes[q.Class].Harmless()}, l.id)
+	pieces, err := l.plan.Take(extent.Request{ID: l.wholes, Data: k.Data, Range: *k.Range, Write: ask.Write,
+		Class: ask.Class, Plan: ask.Plan, Units: int(ask.Units), At: k.At,
+		Harmless: l.set.Classes[ask.Class].Harmless()}, l.id)
 	if err != nil {
-		l.i.log.Debug("range refused", "token", q.Token, "error", err)
+		l.c.log.Debug("range refused", "token", k.Token, "error", err)
 		l.finish(k, proto.Answer{Code: proto.Refused, Reason: ReasonRange}, nil)
 		return
 	}
@@ -303,30 +308,30 @@
 
 // overdue is the net under the module: a call that it has not answered when its time is up is answered
 // here, and logged as the fault that it is.
-func (l *loop) overdue(k *call) {
+func (l *loop) overdue(k *Call) {
 	if k.done {
 		return
 	}
-	l.i.Stats.Overdue.Add(1)
+	l.c.Stats.Overdue.Add(1)
 	sends := 0
 	for _, r := range k.reqs {
 		sends += r.sends
 	}
-	l.i.log.Error("overdue", "token", k.req.Token, "attempts", sends, "held", l.now-k.at)
+	l.c.log.Error("overdue", "token", k.Token, "attempts", sends, "held", l.now-k.At)
 	l.drop(k, ReasonOverdue)
 }
 
 // left ends a call whose client is gone or wants no answer any more.
-func (l *loop) left(k *call) {
+func (l *loop) left(k *Call) {
 	if k.done || k.reqs == nil {
 		return
 	}
-	l.i.Stats.Left.Add(1)
+	l.c.Stats.Left.Add(1)
 	l.drop(k, ReasonLeft)
 }
 
 // drop answers a call as failed and lets the module know that nothing is owed for it any more.
-func (l *loop) drop(k *call, reason string) {
+func (l *loop) drop(k *Call, reason string) {
 	a := proto.Answer{Code: proto.Failed, Reason: reason}
 	var withdraw []uint32
 	if k.id != 0 {
@@ -358,7 +363,7 @@
 }
 
 // finish gives a call its one final answer.
-func (l *loop) finish(k *call, a proto.Answer, payload []byte) {
+func (l *loop) finish(k *Call, a proto.Answer, payload []byte) {
 	if k.done {
 		return
 	}
@@ -366,24 +371,24 @@
 	l.timers.cancel(k.overdue)
 	switch a.Code {
 	case proto.OK:
-		l.i.Stats.Served.Add(1)
+		l.c.Stats.Served.Add(1)
 	case proto.Refused:
-		l.i.Stats.Refused.Add(1)
+		l.c.Stats.Refused.Add(1)
 	default:
-		l.i.Stats.Failed.Add(1)
+		l.c.Stats.Failed.Add(1)
 	}
 	if a.Code != proto.OK {
-		l.i.log.Debug(codeWord(a.Code), "reason", a.Reason, "token", k.req.Token, "advice", a.Advice)
-		if a.Done > 0 && k.write {
+		l.c.log.Debug(codeWord(a.Code), "reason", a.Reason, "token", k.Token, "advice", a.Advice)
+		if a.Done > 0 && k.Ask.Write {
 			l.partial(k)
 		}
 	}
-	l.i.front.answer(k, a, payload)
-	k.payload = nil
+	l.c.open.Add(-1)
+	k.Caller.Answer(a, payload)
 }
 
 // partial logs what of a failed write is where: nobody else can tell.
-func (l *loop) partial(k *call) {
+func (l *loop) partial(k *Call) {
 	for _, r := range k.reqs {
 		state := "unsent"
 		switch {
@@ -393,7 +398,7 @@
 			state = "unsure"
 		}
 		at := r.piece.Range
-		l.i.log.Warn("write in part", "token", k.req.Token, "data", k.req.Of(), "offset", at.Offset,
+		l.c.log.Warn("write in part", "token", k.Token, "data", k.Data, "offset", at.Offset,
 			"length", at.Length, "state", state, "node", addrText(r.server), "last", r.why)
 	}
 }
@@ -428,7 +433,7 @@
 			payload = ends.Data[0]
 		} else if ends.Verdict == extent.Served {
 			payload = slices.Concat(ends.Data...)
-			l.i.Stats.Copied.Add(uint64(len(payload)))
+			l.c.Stats.Copied.Add(uint64(len(payload)))
 		}
 		l.finish(k, a, payload)
 	}
@@ -471,7 +476,7 @@
 // tells of volumes concerns that of the operation's lead.
 func (l *loop) ended(a *attempt, code control.Code, answer proto.Answer, payload []byte, lead bool) {
 	if a.over {
-		l.i.Stats.Late.Add(1)
+		l.c.Stats.Late.Add(1)
 		return // its time-out came first, and was its one outcome
 	}
 	a.over = true
@@ -481,9 +486,9 @@
 	r.why = reasonOf(code)
 	if k := r.call; k.id != 0 {
 		l.plan.Ended(r.id, code.MayHaveRun())
-		if k.done && k.write && code.MayHaveRun() {
+		if k.done && k.Ask.Write && code.MayHaveRun() {
 			at := r.piece.Range
-			l.i.log.Info("piece of an answered write ended", "token", k.req.Token, "data", k.req.Of(),
+			l.c.log.Info("piece of an answered write ended", "token", k.Token, "data", k.Data,
 				"offset", at.Offset, "length", at.Length, "node", addrText(a.server), "code", code)
 		}
 	}
@@ -510,10 +515,10 @@
 	}
 	l.ended(a, code, proto.Answer{}, nil, false)
 	if slices.ContainsFunc(a.op.members, func(o *attempt) bool { return !o.over }) {
-		l.pool.cancelMember(a.op, slices.Index(a.op.members, a))
+		l.edges.Nodes.CallOffMember(a.op, slices.Index(a.op.members, a))
 		return
 	}
-	l.pool.cancel(a.op)
+	l.edges.Nodes.CallOff(a.op)
 }
 
 func (l *loop) act(action control.Action) {
@@ -541,21 +546,21 @@
 	case control.SetTimer:
 		l.timers.set(l.now+x.After, func() { l.tell(control.Timer{Token: x.Token}) })
 	case control.Probe:
-		l.pool.probe(l, x.Server)
+		l.edges.Nodes.Probe(x.Server)
 	case control.Close:
-		l.pool.closeIdle(x.Server)
+		l.edges.Nodes.CloseIdle(x.Server)
 	case control.Tell:
-		if l.i.link != nil {
-			if err := l.i.link.Send(x.To, x.Body); err != nil {
-				l.i.log.Debug("message lost", "error", err)
+		if l.edges.Peers != nil {
+			if err := l.edges.Peers.Send(x.To, x.Body); err != nil {
+				l.c.log.Debug("message lost", "error", err)
 			}
 		}
 	case control.Log:
-		l.i.log.Info("module", "text", x.Text)
+		l.c.log.Info("module", "text", x.Text)
 	case control.Watch:
-		l.i.list.Watch(x.On)
+		l.edges.List.Watch(x.On)
 	case control.Fetch:
-		l.i.list.Fetch()
+		l.edges.List.Fetch()
 	}
 }
 
@@ -599,8 +604,8 @@
 	l.leaving = nil
 	for _, op := range leaving {
 		for _, live := range l.live(op) {
-			l.i.Stats.Sends.Add(uint64(len(live.members)))
-			l.pool.send(live)
+			l.c.Stats.Sends.Add(uint64(len(live.members)))
+			l.edges.Nodes.Send(live)
 		}
 	}
 	clear(leaving)
@@ -611,28 +616,28 @@
 // time is up. Where members have dropped out, the others may not touch any more, so each goes alone. Of
 // several of one ordered key only the first may: the others go back to the module as not sent. (Sent side by
 // side, they were carried out in any order.)
-func (l *loop) live(op *operation) []*operation {
+func (l *loop) live(op *Operation) []*Operation {
 	var keep []*attempt
 	for _, a := range op.members {
 		switch {
 		case a.over:
 		case a.req.done || a.deadline <= l.now:
-			l.i.Stats.Moot.Add(1)
-			l.i.in.put(result{op: alone(a), code: control.Moot})
+			l.c.Stats.Moot.Add(1)
+			l.c.in.put(result{op: alone(a), code: control.Moot})
 		default:
 			keep = append(keep, a)
 		}
 	}
 	if len(keep) == len(op.members) {
 		op.seal(l)
-		return []*operation{op}
+		return []*Operation{op}
 	}
-	var out []*operation
+	var out []*Operation
 	keys := map[uint64]bool{}
 	for _, a := range keep {
-		if q := &a.req.call.req; q.Key != 0 && l.set.Classes[q.Class].InOrder {
+		if q := &a.req.call.Ask; q.Key != 0 && l.set.Classes[q.Class].InOrder {
 			if keys[q.Key] {
-				l.i.in.put(result{op: alone(a), code: control.ConnectFailed})
+				l.c.in.put(result{op: alone(a), code: control.ConnectFailed})
 				continue
 			}
 			keys[q.Key] = true
@@ -656,7 +661,7 @@
 	if l.plan == nil {
 		return
 	}
-	s, to := l.plan.Stats, &l.i.Stats
+	s, to := l.plan.Stats, &l.c.Stats
 	for _, c := range []struct {
 		to   *atomic.Uint64
 		from uint64
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -26,7 +27,7 @@
 	server  control.Server
 	conns   []*nodeConn
 	dialing int
-	waiting []*operation
+	waiting []*Operation
 }
 
 // nodeConn is one connection to a node.
@@ -35,19 +36,22 @@
 	conn   *proto.Conn
 
 	mu    sync.Mutex
-	ops   map[uint64]*operation
+	ops   map[uint64]*Operation
 	next  uint64
 	ended bool
 }
 
-type (
-	dialed struct {
-		server control.Server
-		conn   *nodeConn
-		err    error
-	}
-	dropped struct{ conn *nodeConn }
-)
+// flight is where an operation is in flight, and its Edge.
+type flight struct {
+	conn   *nodeConn
+	stream uint64
+}
+
+type dialed struct {
+	server control.Server
+	conn   *nodeConn
+	err    error
+}
 
 func newPool(ctx context.Context, g *errgroup.Group, i *Instance) *pool {
 	lim := i.cfg.Site.Limits
@@ -68,9 +72,9 @@
 	return n
 }
 
-// send puts an operation on the connection with the least in flight, or lets it wait for one that is being
+// Send puts an operation on the connection with the least in flight, or lets it wait for one that is being
 // made. Where all that may be made are full, the node is out of reach for it.
-func (p *pool) send(op *operation) {
+func (p *pool) Send(op *Operation) {
 	n := p.link(op.server)
 	var best *nodeConn
 	for _, c := range n.conns {
@@ -101,18 +105,20 @@
 		defer cancel()
 		conn, err := proto.Dial(ctx, addrText(server), p.cfg)
 		if err != nil {
-			p.i.in.put(dialed{server: server, err: err})
+			p.did(dialed{server: server, err: err})
 			return nil
 		}
-		c := &nodeConn{server: server, conn: conn, ops: map[uint64]*operation{}}
+		c := &nodeConn{server: server, conn: conn, ops: map[uint64]*Operation{}}
 		p.i.in.put(greeted{server, conn.Their().Boot})
-		p.i.in.put(dialed{server: server, conn: c})
+		p.did(dialed{server: server, conn: c})
 		err = conn.Run(p.ctx, func(f proto.Frame) error { return p.frame(c, f) })
 		p.reset(c, err)
 		return nil
 	})
 }
 
+func (p *pool) did(x dialed) { p.i.in.put(func(l *loop) { p.dialed(l, x) }) }
+
 // dialed takes a new connection in: attempts that waited leave on it, or fail with it when it could not be
 // made.
 func (p *pool) dialed(l *loop, x dialed) {
@@ -135,38 +141,39 @@
 	n.waiting = nil
 	for _, op := range waiting {
 		for _, live := range l.live(op) {
-			p.send(live)
+			p.Send(live)
 		}
 	}
 }
 
 // post writes an operation's request. What cannot be queued has surely not run.
-func (p *pool) post(c *nodeConn, op *operation) {
+func (p *pool) post(c *nodeConn, op *Operation) {
 	c.mu.Lock()
 	c.next++
-	op.conn, op.stream = c, c.next
-	ended := c.ended || c.conn.Open(op.stream) != nil
+	stream := c.next
+	op.Edge = flight{c, stream}
+	ended := c.ended || c.conn.Open(stream) != nil
 	if !ended {
-		c.ops[op.stream] = op
+		c.ops[stream] = op
 	}
 	c.mu.Unlock()
 	if !ended {
 		req, payload, copied := op.frame(p.i.now())
 		p.i.Stats.Copied.Add(uint64(copied))
-		err := c.conn.Post(proto.TypeRequest, op.stream, req, payload)
+		err := c.conn.Post(proto.TypeRequest, stream, req, payload)
 		if err == nil {
 			return
 		}
 		p.i.log.Warn("request not sent", "node", addrText(op.server), "error", err)
-		c.conn.Done(op.stream) // no answer will come that would end it
+		c.conn.Done(stream) // no answer will come that would end it
 	}
-	if c.take(op.stream) != nil || ended {
+	if c.take(stream) != nil || ended {
 		p.i.in.put(result{op: op, code: control.ConnectFailed})
 	}
 }
 
 // take removes an operation from those in flight; nil if it is not there any more.
-func (c *nodeConn) take(stream uint64) *operation {
+func (c *nodeConn) take(stream uint64) *Operation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	op := c.ops[stream]
@@ -174,22 +181,19 @@
 	return op
 }
 
-// cancel tells the node that an answer is no longer wanted. The stream stays in flight until the node ends
+// CallOff tells the node that an answer is no longer wanted. The stream stays in flight until the node ends
 // it, so that a node that answers nothing does not get more than was agreed.
-func (p *pool) cancel(op *operation) {
-	if op.conn == nil {
-		return
-	}
-	if op.conn.take(op.stream) != nil {
-		_ = op.conn.conn.Post(proto.TypeCancel, op.stream, nil, nil) // a closed connection reports itself
+func (p *pool) CallOff(op *Operation) {
+	if at, ok := op.Edge.(flight); ok && at.conn.take(at.stream) != nil {
+		_ = at.conn.conn.Post(proto.TypeCancel, at.stream, nil, nil) // a closed connection reports itself
 	}
 }
 
-// cancelMember tells the node that one of an operation's members no longer waits.
-func (p *pool) cancelMember(op *operation, place int) {
-	if op.conn != nil {
+// CallOffMember tells the node that one of an operation's members no longer waits.
+func (p *pool) CallOffMember(op *Operation, place int) {
+	if at, ok := op.Edge.(flight); ok {
 		call := proto.Cancel{Members: []uint16{uint16(place)}}
-		_ = op.conn.conn.Post(proto.TypeCancel, op.stream, call, nil) // a closed connection reports itself
+		_ = at.conn.conn.Post(proto.TypeCancel, at.stream, call, nil) // a closed connection reports itself
 	}
 }
 
@@ -243,7 +247,7 @@
 	for _, op := range out {
 		p.i.in.put(result{op: op, code: control.Reset})
 	}
-	p.i.in.put(dropped{c})
+	p.i.in.put(func(*loop) { p.dropped(c) })
 }
 
 func (p *pool) dropped(c *nodeConn) {
@@ -264,8 +268,8 @@
 	}
 }
 
-// closeIdle closes the connections to a node on which nothing is in flight.
-func (p *pool) closeIdle(s control.Server) {
+// CloseIdle closes the connections to a node on which nothing is in flight.
+func (p *pool) CloseIdle(s control.Server) {
 	if n := p.nodes[s]; n != nil {
 		for _, c := range n.conns {
 			if c.conn.InFlight() == 0 {
@@ -275,9 +279,9 @@
 	}
 }
 
-// probe asks a node on a connection of its own whether it lives.
-func (p *pool) probe(l *loop, s control.Server) {
-	at := l.now
+// Probe asks a node on a connection of its own whether it lives.
+func (p *pool) Probe(s control.Server) {
+	at := p.i.now()
 	p.g.Go(func() error {
 		code := control.ConnectFailed
 		var load []float64
@@ -305,6 +309,47 @@
 	})
 }
 
+// frame is the request as its node gets it, with the payload of a write. The node is told the time of the
+// most urgent member; each member is given up on at its own.
+func (o *Operation) frame(now time.Duration) (req proto.Request, payload []byte, copied int) {
+	lead := o.members[0]
+	req = waiting(lead).req
+	req.Attempt, req.Wait, req.Members, req.Piece = uint16(lead.n), lead.deadline-now, nil, 0
+	if !o.ranged() {
+		return req, waiting(lead).payload, 0
+	}
+	req.Cell = int32(lead.req.piece.Cell)
+	req.Offset, req.Length, req.Units = o.plan.Range.Offset, uint32(o.plan.Range.Length), uint32(o.plan.Units)
+	req.Data, req.Write, req.Piece = o.plan.Data, o.plan.Write, uint16(lead.req.piece.Nth)
+	if len(o.members) == 1 {
+		return req, lead.bytes(), 0
+	}
+	if req.Write {
+		payload = make([]byte, o.plan.Range.Length)
+	}
+	for n, a := range o.members {
+		req.Wait = min(req.Wait, a.deadline-now)
+		q, at := &waiting(a).req, o.plan.Slice(o.plan.Members[n])
+		req.Members = append(req.Members, proto.Member{Token: q.Token, Volume: q.Volume, Key: q.Key,
+			Plan: q.Plan, Units: uint32(max(1, a.req.piece.Units)), Offset: uint32(at.Offset),
+			Length: uint32(at.Length), Piece: uint16(a.req.piece.Nth), Try: q.Try, Client: q.Client})
+		if req.Write {
+			copied += copy(payload[at.Offset:at.End()], a.bytes())
+		}
+	}
+	return req, payload, copied
+}
+
+// bytes are what a piece of a write writes; nil for a read.
+func (a *attempt) bytes() []byte {
+	k, r := waiting(a), a.req.piece.Range
+	if k.payload == nil {
+		return nil
+	}
+	from := r.Offset - k.req.Offset
+	return k.payload[from : from+r.Length]
+}
+
 // codeOf is a node's code as the module's; they are the same numbers.
 func codeOf(c proto.Code) (control.Code, error) {
 	switch c {
@@ -313,13 +358,3 @@
 	}
 	return 0, fmt.Errorf("code %d is none of a node's", c)
 }
-
-func codeWord(c proto.Code) string {
-	switch c {
-	case proto.OK:
-		return "served"
-	case proto.Refused:
-		return "refused"
-	}
-	return "failed"
-}
--- a/internal/sched/reasons.go
+++ b/internal/sched/reasons.go
@@ -1,6 +1,9 @@
 package sched
 
-import "landingpaddle/control"
+import (
+	"landingpaddle/control"
+	"landingpaddle/internal/proto"
+)
 
 // Reasons of refusals and failures: the same words in answers and logs. docs/ops/running.md says what to do.
 const (
@@ -41,3 +44,13 @@
 	}
 	return ReasonHeld
 }
+
+func codeWord(c proto.Code) string {
+	switch c {
+	case proto.OK:
+		return "served"
+	case proto.Refused:
+		return "refused"
+	}
+	return "failed"
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -17,7 +17,9 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"landingpaddle/carry"
 	"landingpaddle/control"
+	"landingpaddle/extent"
 	"landingpaddle/internal/config"
 	"landingpaddle/internal/nodelist"
 	"landingpaddle/internal/peer"
@@ -60,31 +62,92 @@
 // positive.
 const epoch = time.Hour
 
-// Instance is one scheduler.
-type Instance struct {
-	cfg     Config
+// CoreConfig is what the loop needs to know, whatever the edges speak.
+type CoreConfig struct {
+	Seed        uint64
+	Settings    control.Settings
+	Tick        time.Duration    // batches begin at most this often
+	Transit     time.Duration    // what of a client's wait is left for the way back
+	AnswerSlack time.Duration    // so long after a call's time the net under the module answers it
+	ClockSkew   time.Duration    // of nodes' clocks
+	Extents     *extent.Settings // nil: no ranged requests
+	Kept        nodelist.File    // the list kept from before a restart;
+	Known       roster.Kept      // without such a file, the list as it was told at the start
+	OneList     bool             // the list service goes on as it was: changes to what was kept are believed
+	Learnt      string           // file of what was learnt; "": nothing is kept
+	Facts       carry.Site       // on which the meaning of that hangs
+	StopWithin  time.Duration
+	Log         *slog.Logger
+	Hooks       Hooks
+}
+
+// Core is one scheduler without its edges: the decision module, the loop that owns it and what leads there.
+type Core struct {
+	cfg     CoreConfig
 	log     *slog.Logger
 	start   time.Time
 	in      *inbox
-	front   *front
-	list    *nodelist.Client
-	link    *peer.Link
 	kept    chan roster.Kept
 	held    atomic.Pointer[[2]uint64] // epoch and version of the list held
+	open    atomic.Int64              // calls admitted and not answered
+	ready   chan struct{}
 	stop    chan struct{}
 	stopped sync.Once
 	Stats   Stats
 }
 
+// NewCore prepares a scheduler; Loop makes it work.
+func NewCore(cfg CoreConfig) *Core {
+	c := &Core{cfg: cfg, log: cfg.Log, start: time.Now(), in: newInbox(), kept: make(chan roster.Kept, 1),
+		ready: make(chan struct{}), stop: make(chan struct{})}
+	if c.log == nil {
+		c.log = slog.New(slog.DiscardHandler)
+	}
+	c.held.Store(&[2]uint64{})
+	return c
+}
+
+// Loop works until Stop has been carried out (nil) or ctx ends, which is a kill.
+func (c *Core) Loop(ctx context.Context, edges Edges) error { return newLoop(c, edges).run(ctx) }
+
+// Ready is closed once the module holds the list of the start.
+func (c *Core) Ready() <-chan struct{} { return c.ready }
+
+// Now is the module's clock.
+func (c *Core) Now() time.Duration { return c.now() }
+
+// Held is the version of the list that is held; 0: none was heard in this life.
+func (c *Core) Held() (epoch, version uint64) {
+	h := c.held.Load()
+	return h[0], h[1]
+}
+
+// Instance is one scheduler that speaks the native protocol.
+type Instance struct {
+	*Core
+	cfg   Config
+	front *front
+	list  *nodelist.Client
+	link  *peer.Link
+}
+
 // New prepares an instance; Run makes it work. Where the kept list cannot be believed it is left out and
 // logged.
 func New(cfg Config) (*Instance, error) {
-	i := &Instance{cfg: cfg, log: cfg.Log, start: time.Now(), in: newInbox(), kept: make(chan roster.Kept, 1),
-		stop: make(chan struct{})}
-	if i.log == nil {
-		i.log = slog.New(slog.DiscardHandler)
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	i.log = i.log.With("instance", cfg.Number)
+	site := &cfg.Site
+	i := &Instance{cfg: cfg}
+	core := CoreConfig{Seed: cfg.Seed, Tick: site.Limits.Tick, Transit: site.Limits.Transit,
+		AnswerSlack: site.Rules.AnswerSlack, ClockSkew: site.Limits.ClockSkew, Kept: cfg.Kept, Learnt: cfg.Learnt,
+		Facts: i.facts(), StopWithin: cfg.StopWithin, Log: cfg.Log.With("instance", cfg.Number),
+		Settings: site.Control(cfg.Number, cfg.Of, cfg.Zone, cfg.PeerListen != ""), Hooks: cfg.Hooks}
+	if site.Extents != nil {
+		plan := site.Extents.Planner()
+		core.Extents = &plan
+	}
+	i.Core = NewCore(core)
 	i.front = newFront(i)
 	if cfg.PeerListen != "" && !cfg.Site.Limits.Peers {
 		return nil, errors.New("peers: the site allows no messages between instances")
@@ -96,11 +159,9 @@
 		}
 		i.link = link
 	}
-	i.held.Store(&[2]uint64{})
 	i.list = nodelist.NewClient(nodelist.ClientConfig{Addr: cfg.List, Push: !cfg.Site.Ask,
 		Conn: proto.Config{Hello: i.hello(), Gate: cfg.Hooks.Gate},
-		Held: func() (uint64, uint64) { h := i.held.Load(); return h[0], h[1] },
-		Hear: func(n roster.News) { i.in.put(n) }, Failed: func(err error) { i.in.put(listFailed{err}) }})
+		Held: i.Held, Hear: i.Hear, Failed: i.ListFailed})
 	return i, nil
 }
 
@@ -119,19 +180,18 @@
 	return i.link.Addr()
 }
 
-// now is the module's clock.
-func (i *Instance) now() time.Duration { return epoch + time.Since(i.start) }
+func (c *Core) now() time.Duration { return epoch + time.Since(c.start) }
 
-func (i *Instance) clock() roster.Clock {
-	return roster.Clock{Now: i.now(), Wall: time.Now().UnixNano()}
+func (c *Core) clock() roster.Clock {
+	return roster.Clock{Now: c.now(), Wall: time.Now().UnixNano()}
 }
 
-// Stop ends the instance in order: it takes nothing new, answers all that it holds, then Run returns.
-func (i *Instance) Stop() { i.stopped.Do(func() { close(i.stop) }) }
+// Stop ends the scheduler in order: it takes nothing new, answers all that it holds, then Run returns.
+func (c *Core) Stop() { c.stopped.Do(func() { close(c.stop) }) }
 
-func (i *Instance) stopping() bool {
+func (c *Core) stopping() bool {
 	select {
-	case <-i.stop:
+	case <-c.stop:
 		return true
 	default:
 		return false
@@ -153,10 +213,14 @@
 	g.Go(func() error { return i.list.Run(run) })
 	g.Go(func() error { return i.keep(run) })
 	if i.link != nil {
-		g.Go(func() error { return i.link.Run(run, func(p control.Peer) { i.in.putPeer(p) }) })
+		g.Go(func() error { return i.link.Run(run, i.Heard) })
 	}
 	g.Go(func() error {
-		l := newLoop(run, g, i)
+		edges := Edges{Nodes: newPool(run, g, i), List: i.list}
+		if i.link != nil {
+			edges.Peers = i.link
+		}
+		l := newLoop(i.Core, edges)
 		err := l.run(run)
 		if err == nil {
 			l.saveLearnt()
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -536,7 +536,7 @@
 		c.once()
 	}
 	t.Logf("%d over the bound, %d served", overload, inst.Stats.Served.Load())
-	if open := inst.front.open.Load(); open != 0 {
+	if open := inst.open.Load(); open != 0 {
 		t.Errorf("%d counted as open after all", open)
 	}
 }
@@ -622,7 +622,7 @@
 	for inst.Stats.Left.Load() < 20 {
 		time.Sleep(time.Millisecond)
 	}
-	if open := inst.front.open.Load(); open != 0 {
+	if open := inst.open.Load(); open != 0 {
 		t.Errorf("%d still open", open)
 	}
 }
