--- /dev/null
+++ b/internal/platform/book.go
@@ -0,0 +1,146 @@
+package platform
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"sync"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/wire"
+	"landingpaddle/roster"
+)
+
+// List is a list of disk servers in discovery's form: the whole of it, or what changed.
+type List struct {
+	Generation uint64   `json:"generation"`
+	Reset      bool     `json:"reset"`
+	Instances  []Listed `json:"instances"`
+}
+
+// Listed is one disk server.
+type Listed struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	Started   float64 `json:"startedAtMs"`
+}
+
+// bookKeep is how long a disk server that is gone can still be dialled: attempts decided on before the news
+// may be on their way to it.
+const bookKeep = time.Minute
+
+// book knows under which address each disk server is reached from here. A disk server is its instanceId, alike
+// at every scheduler; its address may differ from one to the next.
+type book struct {
+	mu    sync.Mutex
+	pages map[control.Server]page
+}
+
+type page struct {
+	id, addr string
+	cell     uint16
+	goneAt   time.Time // zero: it is listed
+}
+
+func newBook() *book { return &book{pages: map[control.Server]page{}} }
+
+// serverOf is the module's name for a disk server: its id's hash, the same wherever it is worked out.
+func serverOf(id string) (s control.Server) {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	sum := h.Sum64()
+	sum ^= sum >> 48 << 16 // the upper bits take part in what is kept
+	for i := range s.Addr {
+		s.Addr[i] = byte(sum >> (8 * i))
+	}
+	s.Port = uint16(sum >> 32)
+	return s
+}
+
+func (b *book) find(s control.Server) (page, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.pages[s]
+	return p, ok
+}
+
+// name is how logs call a disk server.
+func (b *book) name(s control.Server) string {
+	if p, ok := b.find(s); ok {
+		return p.id
+	}
+	return fmt.Sprint(s)
+}
+
+// news turns a list into the roster's form and notes the addresses. An entry that cannot be understood is an
+// error for the whole list: half a list would look like servers that are gone.
+func (b *book) news(l List, since uint64, site *wire.Site) (roster.News, error) {
+	n := roster.News{Version: l.Generation, Since: since, Whole: l.Reset}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range l.Instances {
+		e, err := entry(&l.Instances[i], site)
+		if err != nil {
+			return n, fmt.Errorf("instances, item %d: %w", i, err)
+		}
+		if p, ok := b.pages[e.Server]; ok && p.id != l.Instances[i].ID {
+			return n, fmt.Errorf("instances %q and %q have one hash", p.id, l.Instances[i].ID)
+		}
+		n.Entries = append(n.Entries, e)
+	}
+	now, listed := time.Now(), map[control.Server]bool{}
+	for i, e := range n.Entries {
+		p := page{id: l.Instances[i].ID, addr: l.Instances[i].HostPort, cell: e.Cell}
+		if e.Status == control.Gone {
+			if was, ok := b.pages[e.Server]; ok {
+				p = was
+			}
+			p.goneAt = now
+		}
+		b.pages[e.Server] = p
+		listed[e.Server] = true
+	}
+	for s, p := range b.pages {
+		switch {
+		case l.Reset && !listed[s] && p.goneAt.IsZero():
+			p.goneAt = now
+			b.pages[s] = p
+		case !p.goneAt.IsZero() && now.Sub(p.goneAt) > bookKeep:
+			delete(b.pages, s)
+		}
+	}
+	return n, nil
+}
+
+func entry(l *Listed, site *wire.Site) (roster.Entry, error) {
+	e := roster.Entry{Server: serverOf(l.ID), Cell: uint16(l.Cell), Zone: site.Zone(l.Zone),
+		Kind: site.Kind(l.Kind), Nominal: l.Weight}
+	switch l.Lifecycle {
+	case "ready":
+		e.Status = control.Ready
+	case "draining":
+		e.Status = control.Draining
+	case "gone":
+		e.Status = control.Gone
+	default:
+		return e, fmt.Errorf("lifecycle %q is not known", l.Lifecycle)
+	}
+	switch {
+	case l.ID == "":
+		return e, fmt.Errorf("instanceId is missing")
+	case l.HostPort == "" && e.Status != control.Gone:
+		return e, fmt.Errorf("%s: hostPort is missing", l.ID)
+	case l.Cell < 0 || l.Cell > math.MaxUint16:
+		return e, fmt.Errorf("%s: cell %d is out of range", l.ID, l.Cell)
+	case !(l.Started >= 0 && l.Started < 1<<53):
+		return e, fmt.Errorf("%s: startedAtMs %v is out of range", l.ID, l.Started)
+	}
+	e.Boot = int64(l.Started) * int64(time.Millisecond)
+	return e, nil
+}
--- /dev/null
+++ b/internal/platform/nodes.go
@@ -0,0 +1,390 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/http1"
+	"landingpaddle/internal/proto"
+	"landingpaddle/internal/sched"
+)
+
+const (
+	maxBody     = 64 << 10 // of requests and answers, by the protocol
+	nodeHead    = 8 << 10
+	idlePart    = 0.8                   // of the time after which disk servers close, a connection is kept
+	settled     = 10 * time.Millisecond // a connection that idled for so long has shown what comes unasked
+	longestRead = time.Minute           // where no attempt has a deadline
+	fieldMeter  = "X-Meter"
+	fieldDelta  = "X-Delta"
+	fieldTurned = "X-Rejected"
+)
+
+// nodes holds the connections to disk servers: one request at a time on each.
+type nodes struct {
+	ctx  context.Context
+	core *sched.Core
+	cfg  *Config
+	book *book
+	log  *slog.Logger
+	most int // connections at once
+
+	mu   sync.Mutex
+	idle map[control.Server][]*nodeConn // longest idle first
+	held int                            // connections open or being made
+
+	counts nodeCounts
+}
+
+type nodeCounts struct{ dialed, reused, stale, spoilt, unasked, crowded atomic.Uint64 }
+
+// nodeConn is one connection to a disk server.
+type nodeConn struct {
+	conn  net.Conn
+	rd    *http1.Reader
+	since time.Time // idle from then on
+}
+
+// attempt is one operation on its way: the Edge of it.
+type attempt struct {
+	n      *nodes
+	op     *sched.Operation
+	e      *exchange
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu   sync.Mutex
+	conn net.Conn
+	over bool // nobody waits any more
+}
+
+func newNodes(ctx context.Context, core *sched.Core, cfg *Config, book *book, log *slog.Logger, most int) *nodes {
+	return &nodes{ctx: ctx, core: core, cfg: cfg, book: book, log: log, most: most,
+		idle: map[control.Server][]*nodeConn{}}
+}
+
+// Send starts an attempt.
+func (n *nodes) Send(op *sched.Operation) {
+	a := &attempt{n: n, op: op, e: op.Caller().(*exchange)}
+	a.ctx, a.cancel = context.WithCancel(n.ctx)
+	op.Edge = a
+	go a.run()
+}
+
+// CallOff ends an attempt: its connection is closed, which is how disk servers are told.
+func (n *nodes) CallOff(op *sched.Operation) {
+	if a, ok := op.Edge.(*attempt); ok {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.over = true
+		a.cancel()
+		if a.conn != nil {
+			a.conn.Close()
+		}
+	}
+}
+
+// CallOffMember does nothing: here every operation is of one attempt.
+func (n *nodes) CallOffMember(*sched.Operation, int) {}
+
+// run carries the attempt out and tells its one outcome.
+func (a *attempt) run() {
+	defer a.cancel()
+	code, answer, body := a.try()
+	a.mu.Lock()
+	over := a.over
+	a.over = true
+	a.mu.Unlock()
+	if !over {
+		a.n.core.Ended(a.op, code, answer, body)
+	}
+}
+
+func (a *attempt) try() (control.Code, proto.Answer, []byte) {
+	n, none := a.n, proto.Answer{}
+	at, ok := n.book.find(a.op.Server())
+	if !ok {
+		return control.ConnectFailed, none, nil
+	}
+	if cell := a.e.call.Ask.Cell; cell >= 0 && int(at.cell) != cell {
+		return control.Moot, none, nil
+	}
+	c := n.take(a.op.Server())
+	if c == nil {
+		var err error
+		if c, err = n.dial(a.ctx, a.op.Server(), at.addr); err != nil {
+			n.log.Debug("disk server out of reach", "node", at.id, "error", err)
+			return control.ConnectFailed, none, nil
+		}
+	}
+	a.mu.Lock()
+	a.conn = c.conn
+	over := a.over
+	a.mu.Unlock()
+	left := a.op.Deadline() - n.core.Now()
+	if over || left <= 0 {
+		n.drop(c)
+		return control.Moot, none, nil // nothing was written
+	}
+	h := append(http1.Header{{Name: "Host", Value: at.addr},
+		{Name: fieldBudget, Value: strconv.FormatFloat(left.Seconds(), 'f', 4, 64)}}, a.e.pass...)
+	b := http1.AppendRequest(nil, a.e.method, a.e.target, h, a.e.body)
+	if _, err := c.conn.Write(b); err != nil {
+		n.drop(c)
+		return control.ConnectFailed, none, nil // its last byte was not written
+	}
+	c.conn.SetReadDeadline(time.Now().Add(max(2*left, longestRead)))
+	p, err := c.rd.Response()
+	if err != nil {
+		n.drop(c)
+		var spoilt *http1.Error
+		if errors.As(err, &spoilt) {
+			n.counts.spoilt.Add(1)
+			n.log.Debug("spoilt answer", "node", at.id, "cause", spoilt.What)
+		}
+		return control.Reset, none, nil
+	}
+	if p.Close || c.rd.Buffered() > 0 {
+		if c.rd.Buffered() > 0 {
+			n.counts.unasked.Add(1)
+		}
+		n.drop(c)
+	} else {
+		n.put(a, c)
+	}
+	return outcome(p)
+}
+
+// outcome reads an answer by the protocol's table.
+func outcome(p *http1.Response) (control.Code, proto.Answer, []byte) {
+	a := proto.Answer{}
+	if v, ok := figure(p.Header, fieldMeter); ok {
+		a.Metered = 1 + v
+	}
+	if v, ok := figure(p.Header, fieldDelta); ok {
+		a.Elsewhere = v
+	}
+	turned, _ := p.Header.Get(fieldTurned)
+	switch {
+	case p.Status == 200:
+		return control.OK, a, p.Body
+	case (p.Status == 503 || p.Status == 504) && turned == "1":
+		return control.Full, a, nil
+	}
+	return control.Error, a, nil
+}
+
+// figure reads a figure on use. One that cannot be read is no news.
+func figure(h http1.Header, name string) (uint32, bool) {
+	text, count := h.Get(name)
+	if count != 1 || text == "" || strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || v > 1e6 {
+		return 0, false
+	}
+	return uint32(v + 0.5), true
+}
+
+// take finds an idle connection on which nothing came unasked: the last one used of those that have settled,
+// else the one that idles for the longest.
+func (n *nodes) take(s control.Server) *nodeConn {
+	for {
+		n.mu.Lock()
+		row := n.idle[s]
+		if len(row) == 0 {
+			n.mu.Unlock()
+			return nil
+		}
+		at := 0
+		for i, c := range row {
+			if time.Since(c.since) >= settled {
+				at = i
+			}
+		}
+		c := row[at]
+		n.keep(s, slices.Delete(row, at, at+1))
+		n.mu.Unlock()
+		if time.Since(c.since) < n.idleFor() && quiet(c.conn) {
+			n.counts.reused.Add(1)
+			return c
+		}
+		n.counts.stale.Add(1)
+		n.drop(c)
+	}
+}
+
+func (n *nodes) keep(s control.Server, row []*nodeConn) {
+	if len(row) == 0 {
+		delete(n.idle, s)
+		return
+	}
+	n.idle[s] = row
+}
+
+func (n *nodes) idleFor() time.Duration {
+	if t := n.cfg.Site.IdleClose; t > 0 {
+		return time.Duration(idlePart * float64(t))
+	}
+	return longestRead
+}
+
+// put lets a connection idle. One whose attempt was called off meanwhile is closed already.
+func (n *nodes) put(a *attempt, c *nodeConn) {
+	a.mu.Lock()
+	over := a.over
+	a.conn = nil
+	a.mu.Unlock()
+	if over || n.ctx.Err() != nil {
+		n.drop(c)
+		return
+	}
+	c.conn.SetReadDeadline(time.Time{})
+	c.rd.Shrink()
+	c.since = time.Now()
+	s := a.op.Server()
+	n.mu.Lock()
+	n.idle[s] = append(n.idle[s], c)
+	n.mu.Unlock()
+}
+
+func (n *nodes) drop(c *nodeConn) {
+	c.conn.Close()
+	n.mu.Lock()
+	n.held--
+	n.mu.Unlock()
+}
+
+var errCrowded = errors.New("all connections that may be open are in work")
+
+// dial makes a connection, in place of the longest idle one where no more may be open.
+func (n *nodes) dial(ctx context.Context, s control.Server, addr string) (*nodeConn, error) {
+	n.mu.Lock()
+	if n.held >= n.most && !n.evict() {
+		n.mu.Unlock()
+		n.counts.crowded.Add(1)
+		return nil, errCrowded
+	}
+	n.held++
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, n.connectTimeout())
+	defer cancel()
+	n.counts.dialed.Add(1)
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		n.mu.Lock()
+		n.held--
+		n.mu.Unlock()
+		return nil, err
+	}
+	return &nodeConn{conn: conn, rd: http1.NewReader(conn, http1.Limits{Head: nodeHead, Body: maxBody})}, nil
+}
+
+func (n *nodes) connectTimeout() time.Duration {
+	if t := n.cfg.Site.Control.ConnectTimeout; t > 0 {
+		return t
+	}
+	return time.Second
+}
+
+// evict closes the connection that idles for the longest. The lock is held.
+func (n *nodes) evict() bool {
+	var from control.Server
+	var oldest *nodeConn
+	for s, row := range n.idle {
+		if oldest == nil || row[0].since.Before(oldest.since) {
+			from, oldest = s, row[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	n.keep(from, n.idle[from][1:])
+	oldest.conn.Close()
+	n.held--
+	return true
+}
+
+// sweep closes connections ahead of the time after which disk servers do, until ctx ends.
+func (n *nodes) sweep(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.closeWhere(func(control.Server, *nodeConn) bool { return true })
+			return
+		case <-tick.C:
+			n.closeWhere(func(s control.Server, c *nodeConn) bool {
+				at, listed := n.book.find(s)
+				return time.Since(c.since) >= n.idleFor() || !listed || !at.goneAt.IsZero()
+			})
+		}
+	}
+}
+
+func (n *nodes) closeWhere(old func(control.Server, *nodeConn) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for s, row := range n.idle {
+		n.keep(s, slices.DeleteFunc(row, func(c *nodeConn) bool {
+			if !old(s, c) {
+				return false
+			}
+			c.conn.Close()
+			n.held--
+			return true
+		}))
+	}
+}
+
+// CloseIdle closes the idle connections to a disk server.
+func (n *nodes) CloseIdle(s control.Server) {
+	n.closeWhere(func(of control.Server, _ *nodeConn) bool { return of == s })
+}
+
+// Probe asks a disk server on a connection of its own whether it lives.
+func (n *nodes) Probe(s control.Server) {
+	at := n.core.Now()
+	go func() {
+		n.core.Probed(control.Probed{Server: s, Code: n.probe(s), Took: n.core.Now() - at})
+	}()
+}
+
+func (n *nodes) probe(s control.Server) control.Code {
+	page, ok := n.book.find(s)
+	if !ok {
+		return control.ConnectFailed
+	}
+	c, err := n.dial(n.ctx, s, page.addr)
+	if err != nil {
+		return control.ConnectFailed
+	}
+	defer n.drop(c)
+	c.conn.SetDeadline(time.Now().Add(n.connectTimeout()))
+	h := http1.Header{{Name: "Host", Value: page.addr}, {Name: "Connection", Value: "close"}}
+	if _, err := c.conn.Write(http1.AppendRequest(nil, "GET", pathHealth, h, nil)); err != nil {
+		return control.ConnectFailed
+	}
+	p, err := c.rd.Response()
+	var late net.Error
+	switch {
+	case errors.As(err, &late) && late.Timeout():
+		return control.TimedOut
+	case err != nil:
+		return control.Reset
+	case p.Status == 200:
+		return control.OK
+	}
+	return control.Error
+}
--- /dev/null
+++ b/internal/platform/peers.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/sched"
+)
+
+// maxDatagram bounds a datagram between schedulers, by the protocol.
+const maxDatagram = 256
+
+// peers is this scheduler's end of the datagrams between schedulers. They carry the module's words as they
+// are; the sender is told by its address.
+type peers struct {
+	cfg  *Config
+	conn *net.UDPConn
+}
+
+func newPeers(cfg *Config) (*peers, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.PeerAt))
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	return &peers{cfg: cfg, conn: conn}, nil
+}
+
+// run hands messages on until ctx ends. What comes from nobody known is dropped.
+func (p *peers) run(ctx context.Context, core *sched.Core) {
+	stop := context.AfterFunc(ctx, func() { p.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagram+1)
+	for {
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP answer to something sent earlier
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		number := slices.Index(p.cfg.Peers, from)
+		if number < 0 || number == p.cfg.Site.Control.Me || n > maxDatagram {
+			continue
+		}
+		core.Heard(control.Peer{From: uint32(number), Body: slices.Clone(buf[:n])})
+	}
+}
+
+// Send sends to one scheduler or to all; what cannot be sent is lost, as any datagram may be.
+func (p *peers) Send(to uint32, body []byte) error {
+	at := p.cfg.PeersAll
+	switch {
+	case len(body) > maxDatagram:
+		return fmt.Errorf("a message holds %d bytes at most", maxDatagram)
+	case to != control.AllPeers && int64(to) >= int64(len(p.cfg.Peers)):
+		return fmt.Errorf("there is no scheduler %d", to)
+	case to != control.AllPeers:
+		at = p.cfg.Peers[to]
+	case !at.IsValid():
+		return errors.New("no address for all schedulers is known")
+	}
+	_, err := p.conn.WriteToUDPAddrPort(body, at)
+	return err
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,232 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"landingpaddle/internal/sched"
+	"landingpaddle/roster"
+)
+
+// bounds are what the machine's limits leave for each use.
+type bounds struct {
+	clients int   // connections of clients
+	nodes   int   // connections to disk servers
+	open    int   // requests in work
+	bodies  int64 // bytes of requests' bodies in work
+	memory  int64 // bytes that the runtime aims to stay under
+}
+
+// spareSockets are set aside for discovery, peers, the listener, logs and the runtime.
+const spareSockets = 24
+
+// boundsOf divides the machine. Clients get more connections than the usual ones need, as some hold theirs
+// for nothing.
+func boundsOf(c *Config) bounds {
+	free := c.Limits.Sockets - spareSockets
+	memory := int64(c.Limits.MemoryMB) << 20
+	b := bounds{clients: free * 55 / 100, bodies: memory / 8, memory: memory * 6 / 10}
+	b.nodes = free - b.clients
+	b.open = b.clients
+	if c.Site.MostOpen > 0 {
+		b.open = min(b.open, c.Site.MostOpen)
+	}
+	return b
+}
+
+// transit is kept of a client's wait for the way of the answer.
+const transit = 5 * time.Millisecond
+
+// How a stop in order goes: clients come for a little longer, then only what is open is answered.
+const (
+	acceptFor  = 550 * time.Millisecond
+	answerFor  = 800 * time.Millisecond // from the signal on; what comes later is refused
+	tellEvery  = 5 * time.Second
+	stopWithin = 10 * time.Second
+)
+
+// Scheduler is one scheduler on the platform.
+type Scheduler struct {
+	cfg   *Config
+	log   *slog.Logger
+	core  *sched.Core
+	book  *book
+	front *front
+	lim   bounds
+
+	mu   sync.Mutex
+	disc *discovery
+
+	term    chan struct{}
+	termed  sync.Once
+	nodes   *nodes
+	started chan net.Addr
+}
+
+// New prepares a scheduler.
+func New(cfg *Config, log *slog.Logger) (*Scheduler, error) {
+	s := &Scheduler{cfg: cfg, log: log.With("name", cfg.Name), book: newBook(), lim: boundsOf(cfg),
+		term: make(chan struct{}), started: make(chan net.Addr, 1)}
+	known := cfg.Known
+	known.Reset = true
+	news, err := s.book.news(known, 0, &cfg.Site)
+	if err != nil {
+		return nil, fmt.Errorf("key %q: %w", "known", err)
+	}
+	s.core = sched.NewCore(sched.CoreConfig{Seed: cfg.Seed, Settings: cfg.Site.Control,
+		Tick: cfg.Site.Control.Tick, Transit: transit, AnswerSlack: cfg.Site.AnswerSlack,
+		Known:   roster.Kept{Version: news.Version, Entries: news.Entries},
+		OneList: true, StopWithin: stopWithin, Log: s.log})
+	s.front = newFront(s.core, &s.cfg.Site, s.log, s.lim)
+	return s, nil
+}
+
+// FitRuntime tells the Go runtime what the machine has.
+func FitRuntime(cfg *Config) {
+	if cores := cfg.Limits.Cores; cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cores))))
+	}
+	debug.SetMemoryLimit(boundsOf(cfg).memory)
+}
+
+// Term ends the scheduler in order.
+func (s *Scheduler) Term() { s.termed.Do(func() { close(s.term) }) }
+
+// Reload takes over from a new configuration what may change while it runs: where discovery is.
+func (s *Scheduler) Reload(cfg *Config) {
+	s.mu.Lock()
+	disc := s.disc
+	s.mu.Unlock()
+	if disc != nil {
+		disc.MoveTo(cfg.Discovery)
+		s.log.Info("configuration read again", "discovery", cfg.Discovery)
+	}
+}
+
+// Run serves until Term has been carried out (nil) or ctx ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ln, err := net.Listen("tcp4", s.cfg.Listen.String())
+	if err != nil {
+		return fmt.Errorf("key %q: %w", "listen", err)
+	}
+	defer ln.Close()
+	s.started <- ln.Addr()
+	disc := newDiscovery(ctx, s.core, s.cfg, s.book, s.log)
+	s.mu.Lock()
+	s.disc = disc
+	s.mu.Unlock()
+	s.nodes = newNodes(ctx, s.core, s.cfg, s.book, s.log, s.lim.nodes)
+	edges := sched.Edges{Nodes: s.nodes, List: disc}
+	var wg sync.WaitGroup
+	if s.cfg.PeerAt.IsValid() {
+		p, err := newPeers(s.cfg)
+		if err != nil {
+			return err
+		}
+		edges.Peers = p
+		wg.Go(func() { p.run(ctx, s.core) })
+	}
+	wg.Go(func() { s.front.sweep(ctx) })
+	wg.Go(func() { s.nodes.sweep(ctx) })
+	wg.Go(func() { s.tell(ctx) })
+	wg.Go(func() { s.stop(ctx, ln) })
+	wg.Go(func() {
+		if err := s.front.serve(ln); err != nil {
+			s.log.Error("no more clients", "error", err)
+		}
+	})
+	s.log.Info("scheduler started", "listen", ln.Addr().String(), "discovery", s.cfg.Discovery,
+		"clients", s.lim.clients, "nodes", s.lim.nodes, "memory", s.lim.memory)
+	err = s.core.Loop(ctx, edges)
+	if err == nil {
+		s.front.drain(writeWithin)
+	}
+	cancel()
+	ln.Close()
+	s.front.closeAll()
+	wg.Wait()
+	disc.wg.Wait()
+	s.log.Info("scheduler stopped", "counters", &s.core.Stats)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// stop carries Term out: clients may come for a moment, as news of the stop reaches them late; idle
+// connections then close, and the loop ends once all that came has its answer.
+func (s *Scheduler) stop(ctx context.Context, ln net.Listener) {
+	wait := func(d time.Duration) bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.term:
+	}
+	s.log.Info("scheduler stops", "cause", "asked")
+	if !wait(acceptFor) {
+		return
+	}
+	ln.Close()
+	s.front.bye()
+	if !wait(answerFor - acceptFor) {
+		return
+	}
+	s.core.Stop()
+}
+
+// tell logs what happened at an interval.
+func (s *Scheduler) tell(ctx context.Context) {
+	tick := time.NewTicker(tellEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.log.Info("state", "all", s.state())
+		}
+	}
+}
+
+// state is what passes at the sockets, for the log.
+func (s *Scheduler) state() slog.Value {
+	f, n := s.front, s.nodes
+	f.mu.Lock()
+	clients, open := len(f.conns), len(f.open)
+	f.mu.Unlock()
+	n.mu.Lock()
+	held, idle := n.held, 0
+	for _, row := range n.idle {
+		idle += len(row)
+	}
+	n.mu.Unlock()
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	return slog.GroupValue(slog.Any("counters", &s.core.Stats), slog.Int("clients", clients), slog.Int("open", open),
+		slog.Int("node_conns", held), slog.Int("node_idle", idle),
+		slog.Uint64("accepted", f.counts.accepted.Load()), slog.Uint64("turned", f.counts.turned.Load()),
+		slog.Uint64("evicted", f.counts.evicted.Load()), slog.Uint64("malformed", f.counts.malformed.Load()),
+		slog.Uint64("doubled", f.counts.doubled.Load()), slog.Uint64("crowded", f.counts.crowded.Load()),
+		slog.Uint64("dialed", n.counts.dialed.Load()), slog.Uint64("reused", n.counts.reused.Load()),
+		slog.Uint64("stale", n.counts.stale.Load()), slog.Uint64("spoilt", n.counts.spoilt.Load()),
+		slog.Uint64("unasked", n.counts.unasked.Load()), slog.Uint64("node_crowded", n.counts.crowded.Load()),
+		slog.Uint64("heap_kb", mem.HeapInuse>>10), slog.Uint64("sys_kb", mem.Sys>>10),
+		slog.Int("goroutines", runtime.NumGoroutine()))
+}
