After SIGTERM clients are served for as long as what comes can be answered before the kill

Checked in the logs: each ended 0.8 s after SIGTERM and came back 3.4 s after it; between, its clients' open connections were closed and new ones refused. Ruled out: lost answers (all that was taken was answered), discovery (list followed within a batch). At fault: stop() in internal/platform, which closed at 0.55 s although the kill comes no sooner than the longest deadline and 0.7 s. Now it serves until the longest aim before that.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"landingpaddle/control"
 	"landingpaddle/internal/sched"
 	"landingpaddle/roster"
 )
@@ -45,14 +46,31 @@
 // transit is kept of a client's wait for the way of the answer.
 const transit = 5 * time.Millisecond
 
-// How a stop in order goes: clients come for a little longer, then only what is open is answered.
+// tellEvery is how often what passes at the sockets is logged.
+const tellEvery = 5 * time.Second
+
+// How a stop in order goes, counted from the signal. The platform kills no sooner than the longest deadline
+// and killSpare later, and as long as their connections stay open clients use them: so they are served for as
+// long as what comes can still be answered.
 const (
-	acceptFor  = 550 * time.Millisecond
-	answerFor  = 800 * time.Millisecond // from the signal on; what comes later is refused
-	tellEvery  = 5 * time.Second
-	stopWithin = 10 * time.Second
+	leastAccept = 550 * time.Millisecond // new clients come for a moment, as news of a stop reaches them late
+	leastAnswer = 250 * time.Millisecond // of what came by then
+	killMost    = 3 * time.Second        // a longer deadline counts as this
+	killSpare   = 700 * time.Millisecond
+	killMargin  = 150 * time.Millisecond
 )
 
+// stopTimes is when a scheduler that is stopping takes nothing new any more, and when all that is still open
+// is answered: ahead of the kill.
+func stopTimes(set *control.Settings) (last, end time.Duration) {
+	var deadline, aim time.Duration
+	for _, c := range set.Classes {
+		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
+	}
+	end = max(min(deadline, killMost)+killSpare-killMargin, leastAccept+leastAnswer)
+	return max(leastAccept, end-max(aim, leastAnswer)), end
+}
+
 // Scheduler is one scheduler on the platform.
 type Scheduler struct {
 	cfg   *Config
@@ -81,10 +99,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("key %q: %w", "known", err)
 	}
+	last, end := stopTimes(&cfg.Site.Control)
 	s.core = sched.NewCore(sched.CoreConfig{Seed: cfg.Seed, Settings: cfg.Site.Control,
 		Tick: cfg.Site.Control.Tick, Transit: transit, AnswerSlack: cfg.Site.AnswerSlack,
 		Known:   roster.Kept{Version: news.Version, Entries: news.Entries},
-		OneList: true, StopWithin: stopWithin, Log: s.log})
+		OneList: true, StopWithin: end - last, Log: s.log})
 	s.front = newFront(s.core, &s.cfg.Site, s.log, s.lim)
 	return s, nil
 }
@@ -163,8 +182,8 @@
 	return err
 }
 
-// stop carries Term out: clients may come for a moment, as news of the stop reaches them late; idle
-// connections then close, and the loop ends once all that came has its answer.
+// stop carries Term out: clients are served for as long as there is time, then idle connections close, and the
+// loop ends once all that came has its answer.
 func (s *Scheduler) stop(ctx context.Context, ln net.Listener) {
 	wait := func(d time.Duration) bool {
 		select {
@@ -179,15 +198,13 @@
 		return
 	case <-s.term:
 	}
-	s.log.Info("scheduler stops", "cause", "asked")
-	if !wait(acceptFor) {
+	last, end := stopTimes(&s.cfg.Site.Control)
+	s.log.Info("scheduler stops", "cause", "asked", "serves", last, "ends", end)
+	if !wait(last) {
 		return
 	}
 	ln.Close()
 	s.front.bye()
-	if !wait(answerFor - acceptFor) {
-		return
-	}
 	s.core.Stop()
 }
 
