Beliefs beside sockets in the log; connections go by what they said; the module before the net

Seen: under a starved processor, requests ended 'overdue' as the end of an attempt and the net fell due in one batch, before the module was asked (timers.run ahead of decide in internal/sched); a first list of generation 0 was taken for a gap; hundreds of half requests could hold every place for 2 s. Change: the net lets the module speak first; the known list counts as held; room is made of those that said nothing, then those slow to say it, then idle ones. The log tells per disk server what the module believes out beside what is on its way.

--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -33,7 +33,7 @@
 	PeerAt    netip.AddrPort   // where datagrams come to; the zero value: none do
 	Peers     []netip.AddrPort // by number
 	PeersAll  netip.AddrPort
-	Known     List
+	Known     *List // nil: none was told
 	Site      wire.Site
 }
 
@@ -121,9 +121,7 @@
 	if c.Site, err = wire.ParseNested(f.Settings); err != nil {
 		return nil, err
 	}
-	if f.Known != nil {
-		c.Known = *f.Known
-	}
+	c.Known = f.Known
 	return c, c.peers(f)
 }
 
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"landingpaddle/internal/sched"
+	"landingpaddle/internal/wire"
 )
 
 const (
@@ -29,7 +30,7 @@
 // discovery watches and fetches the list. When to ask again after a failure is the module's to say.
 type discovery struct {
 	core   *sched.Core
-	cfg    *Config
+	site   *wire.Site
 	book   *book
 	log    *slog.Logger
 	client *http.Client
@@ -41,11 +42,13 @@
 	wg     sync.WaitGroup
 }
 
-func newDiscovery(ctx context.Context, core *sched.Core, cfg *Config, book *book, log *slog.Logger) *discovery {
+func newDiscovery(ctx context.Context, core *sched.Core, site *wire.Site, addr string, book *book,
+	log *slog.Logger) *discovery {
 	dial := &net.Dialer{Timeout: callWithin}
-	return &discovery{core: core, cfg: cfg, book: book, log: log, ctx: ctx, addr: cfg.Discovery,
-		client: &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true,
-			ResponseHeaderTimeout: callWithin, MaxResponseHeaderBytes: 16 << 10}}}
+	return &discovery{core: core, site: site, book: book, log: log, ctx: ctx, addr: addr,
+		client: &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true,
+				ResponseHeaderTimeout: callWithin, MaxResponseHeaderBytes: 16 << 10}}}
 }
 
 // Watch opens the standing watch anew, or ends it.
@@ -135,16 +138,18 @@
 	if len(doc) > maxList {
 		return errors.New("the list is too long")
 	}
-	_, err = d.hear(doc, 0)
+	_, err = d.hear(doc, 0, true)
 	return err
 }
 
-func (d *discovery) hear(doc []byte, since uint64) (uint64, error) {
+// hear hands a list or a change of it on; what was fetched is whole whatever it says of itself.
+func (d *discovery) hear(doc []byte, since uint64, whole bool) (uint64, error) {
 	var l List
 	if err := json.Unmarshal(doc, &l); err != nil {
 		return 0, err
 	}
-	news, err := d.book.news(l, since, &d.cfg.Site)
+	l.Reset = l.Reset || whole
+	news, err := d.book.news(l, since, d.site)
 	if err != nil {
 		return 0, err
 	}
@@ -172,7 +177,7 @@
 		if len(line) == 0 {
 			continue
 		}
-		if version, err = d.hear(line, version); err != nil {
+		if version, err = d.hear(line, version, false); err != nil {
 			return err
 		}
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -1,8 +1,10 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"hash/fnv"
 	"log/slog"
 	"math"
 	"net"
@@ -35,10 +37,11 @@
 	pathHealth   = "/healthz"
 	maxID        = 128
 	longestWait  = time.Hour
-	sayWithin    = 2 * time.Second // a request must be there whole so long after its connection or first byte
-	idleAtLeast  = 2 * time.Second // a connection that idles for less is never closed from here,
-	idleAtMost   = 8 * time.Second // and for more always
-	silentFrom   = 100 * time.Millisecond
+	sayWithin    = 2 * time.Second        // a request must be there whole so long after its connection or first byte
+	idleAtLeast  = 2 * time.Second        // a connection that idles for less is never closed from here,
+	idleAtMost   = 8 * time.Second        // and for more always
+	silentFrom   = 100 * time.Millisecond // for want of room one that has said nothing is closed after this,
+	slowFrom     = 700 * time.Millisecond // and one that has said half a request
 	writeWithin  = 2 * time.Second
 	readOff      = 1 << 20 // of what still comes after an error, so that the error arrives
 	readOffFor   = 300 * time.Millisecond
@@ -69,9 +72,29 @@
 type clientConn struct {
 	conn  net.Conn
 	rd    *http1.Reader
-	busy  bool // a request is being read or in work
-	said  bool // a whole request has come
-	since time.Time
+	state connState
+	said  bool      // the head of a request has come
+	since time.Time // of the state
+}
+
+type connState uint8
+
+const (
+	idling  connState = iota // nothing of the next request has come
+	reading                  // a part of it has
+	working                  // it is in work
+)
+
+// missed tells how soon a connection may be closed for want of room, and which of several goes first; lower
+// goes before. One whose request is in work is never closed.
+func (c *clientConn) missed() (rank int, after time.Duration) {
+	switch {
+	case c.state == idling && !c.said:
+		return 0, silentFrom
+	case c.state == reading:
+		return 1, slowFrom
+	}
+	return 2, idleAtLeast
 }
 
 // exchange is one client's request; it waits for the loop's answer.
@@ -132,35 +155,31 @@
 	return true
 }
 
-// makeRoom closes the connection that is missed least: the one that has said nothing for the longest since it
-// was made, else the one that has idled for the longest. One on which a request waits to be read stays.
+// makeRoom closes the connection that is missed least: one that has said nothing since it was made, else one
+// that is slow to say its request, else the one that has idled for the longest. One that idles but on which a
+// request waits to be read stays.
 func (f *front) makeRoom(force bool) bool {
+	type row struct {
+		c     *clientConn
+		rank  int
+		since time.Time
+		quiet bool // must be
+	}
+	var rows []row
 	f.mu.Lock()
-	var rows []*clientConn
 	for c := range f.conns {
-		least := idleAtLeast
-		if !c.said {
-			least = silentFrom
-		}
-		if !c.busy && (force || time.Since(c.since) >= least) {
-			rows = append(rows, c)
+		rank, after := c.missed()
+		if c.state != working && (force || time.Since(c.since) >= after) {
+			rows = append(rows, row{c, rank, c.since, c.state == idling})
 		}
 	}
-	slices.SortFunc(rows, func(a, b *clientConn) int {
-		if a.said != b.said {
-			if a.said {
-				return 1
-			}
-			return -1
-		}
-		return a.since.Compare(b.since)
-	})
 	f.mu.Unlock()
-	for _, c := range rows {
-		if quiet(c.conn) {
+	slices.SortFunc(rows, func(a, b row) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since)) })
+	for _, r := range rows {
+		if !r.quiet || quiet(r.c.conn) {
 			f.counts.evicted.Add(1)
-			f.leave(c)
-			c.conn.Close()
+			f.leave(r.c)
+			r.c.conn.Close()
 			return true
 		}
 	}
@@ -192,7 +211,7 @@
 	f.mu.Lock()
 	var rows []*clientConn
 	for c := range f.conns {
-		if !c.busy && time.Since(c.since) >= least {
+		if c.state == idling && time.Since(c.since) >= least {
 			rows = append(rows, c)
 		}
 	}
@@ -204,10 +223,10 @@
 	}
 }
 
-func (f *front) mark(c *clientConn, busy bool) {
+func (f *front) mark(c *clientConn, state connState) {
 	f.mu.Lock()
-	c.busy, c.since = busy, time.Now()
-	c.said = c.said || busy
+	c.state, c.since = state, time.Now()
+	c.said = c.said || state == working
 	f.mu.Unlock()
 }
 
@@ -221,17 +240,18 @@
 		if err := c.rd.Await(); err != nil {
 			return // gone, or it has said nothing
 		}
+		f.mark(c, reading)
 		q, err := c.rd.Request()
 		if err != nil {
 			f.turnAway(c, err)
 			return
 		}
-		f.mark(c, true)
+		f.mark(c, working)
 		if path, _, _ := strings.Cut(q.Target, "?"); path == pathHealth && q.Method == "GET" {
 			if !f.health(c, q.Close) {
 				return
 			}
-			f.mark(c, false)
+			f.mark(c, idling)
 			by = f.nextBy(c)
 			continue
 		}
@@ -321,6 +341,9 @@
 			f.counts.crowded.Add(1)
 			return nil, &http1.Error{Status: 503, What: sched.ReasonOverload}
 		}
+		if awaited, _ := q.Header.Get("Expect"); strings.EqualFold(awaited, "100-continue") {
+			_, _ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) // the read tells if it broke
+		}
 		body, err := c.rd.Body(q.Length)
 		if err != nil {
 			f.bodies.Add(-q.Length)
@@ -357,6 +380,7 @@
 	if len(e.id) > maxID {
 		return bad(fieldID + " is too long")
 	}
+	e.call.Token = tokenOf(e.id)
 	if ask.Class = slices.Index(f.site.Classes, values[fieldClass]); ask.Class < 0 {
 		return bad(fieldClass + " names no class of the settings")
 	}
@@ -401,6 +425,16 @@
 	return nil
 }
 
+// tokenOf is the number by which logs name a request: its id where that is one.
+func tokenOf(id string) uint64 {
+	if v, err := strconv.ParseUint(id, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // extentOf is the piece of data that a target's query names.
 func extentOf(target string) (uint64, error) {
 	_, query, _ := strings.Cut(target, "?")
@@ -545,7 +579,7 @@
 	if _, err := e.c.conn.Write(b); err != nil || e.close {
 		e.c.conn.Close()
 	}
-	f.mark(e.c, false)
+	f.mark(e.c, idling)
 	close(e.done)
 }
 
@@ -570,7 +604,7 @@
 		busy := false
 		f.mu.Lock()
 		for c := range f.conns {
-			busy = busy || c.busy
+			busy = busy || c.state == working
 		}
 		f.mu.Unlock()
 		if !busy {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -41,6 +41,7 @@
 	mu   sync.Mutex
 	idle map[control.Server][]*nodeConn // longest idle first
 	held int                            // connections open or being made
+	work map[control.Server]int         // attempts on their way
 
 	counts nodeCounts
 }
@@ -69,7 +70,7 @@
 
 func newNodes(ctx context.Context, core *sched.Core, cfg *Config, book *book, log *slog.Logger, most int) *nodes {
 	return &nodes{ctx: ctx, core: core, cfg: cfg, book: book, log: log, most: most,
-		idle: map[control.Server][]*nodeConn{}}
+		idle: map[control.Server][]*nodeConn{}, work: map[control.Server]int{}}
 }
 
 // Send starts an attempt.
@@ -99,7 +100,9 @@
 // run carries the attempt out and tells its one outcome.
 func (a *attempt) run() {
 	defer a.cancel()
+	a.n.works(a.op.Server(), 1)
 	code, answer, body := a.try()
+	a.n.works(a.op.Server(), -1)
 	a.mu.Lock()
 	over := a.over
 	a.over = true
@@ -109,6 +112,17 @@
 	}
 }
 
+// works counts the attempts that are on their way to a disk server.
+func (n *nodes) works(s control.Server, by int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.work[s] += by; n.work[s] == 0 {
+		delete(n.work, s)
+	}
+}
+
+// try sends the request once and reads what comes back. What it returns follows the protocol's table: until the
+// last byte of the request is written it has never run, after that it may have.
 func (a *attempt) try() (control.Code, proto.Answer, []byte) {
 	n, none := a.n, proto.Answer{}
 	at, ok := n.book.find(a.op.Server())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"runtime"
@@ -43,6 +44,9 @@
 	return b
 }
 
+// lateSlack is part of what the platform grants beyond every time limit, as sockets and processors are late.
+const lateSlack = 30 * time.Millisecond
+
 // transit is kept of a client's wait for the way of the answer.
 const transit = 5 * time.Millisecond
 
@@ -80,8 +84,9 @@
 	front *front
 	lim   bounds
 
-	mu   sync.Mutex
-	disc *discovery
+	mu          sync.Mutex
+	disc        *discovery // nil: not running yet
+	discoveryAt string
 
 	term    chan struct{}
 	termed  sync.Once
@@ -91,9 +96,12 @@
 
 // New prepares a scheduler.
 func New(cfg *Config, log *slog.Logger) (*Scheduler, error) {
-	s := &Scheduler{cfg: cfg, log: log.With("name", cfg.Name), book: newBook(), lim: boundsOf(cfg),
+	s := &Scheduler{cfg: cfg, discoveryAt: cfg.Discovery, log: log.With("name", cfg.Name), book: newBook(), lim: boundsOf(cfg),
 		term: make(chan struct{}), started: make(chan net.Addr, 1)}
-	known := cfg.Known
+	var known List
+	if cfg.Known != nil {
+		known = *cfg.Known
+	}
 	known.Reset = true
 	news, err := s.book.news(known, 0, &cfg.Site)
 	if err != nil {
@@ -101,9 +109,9 @@
 	}
 	last, end := stopTimes(&cfg.Site.Control)
 	s.core = sched.NewCore(sched.CoreConfig{Seed: cfg.Seed, Settings: cfg.Site.Control,
-		Tick: cfg.Site.Control.Tick, Transit: transit, AnswerSlack: cfg.Site.AnswerSlack,
+		Tick: cfg.Site.Control.Tick, Transit: transit, AnswerSlack: cfg.Site.AnswerSlack + lateSlack,
 		Known:   roster.Kept{Version: news.Version, Entries: news.Entries},
-		OneList: true, StopWithin: end - last, Log: s.log})
+		OneList: cfg.Known != nil, Name: s.book.name, StopWithin: end - last, Log: s.log})
 	s.front = newFront(s.core, &s.cfg.Site, s.log, s.lim)
 	return s, nil
 }
@@ -122,12 +130,12 @@
 // Reload takes over from a new configuration what may change while it runs: where discovery is.
 func (s *Scheduler) Reload(cfg *Config) {
 	s.mu.Lock()
-	disc := s.disc
-	s.mu.Unlock()
-	if disc != nil {
-		disc.MoveTo(cfg.Discovery)
-		s.log.Info("configuration read again", "discovery", cfg.Discovery)
+	defer s.mu.Unlock()
+	s.discoveryAt = cfg.Discovery
+	if s.disc != nil {
+		s.disc.MoveTo(cfg.Discovery)
 	}
+	s.log.Info("configuration read again", "discovery", cfg.Discovery)
 }
 
 // Run serves until Term has been carried out (nil) or ctx ends.
@@ -140,8 +148,8 @@
 	}
 	defer ln.Close()
 	s.started <- ln.Addr()
-	disc := newDiscovery(ctx, s.core, s.cfg, s.book, s.log)
 	s.mu.Lock()
+	disc := newDiscovery(ctx, s.core, &s.cfg.Site, s.discoveryAt, s.book, s.log)
 	s.disc = disc
 	s.mu.Unlock()
 	s.nodes = newNodes(ctx, s.core, s.cfg, s.book, s.log, s.lim.nodes)
@@ -218,10 +226,25 @@
 			return
 		case <-tick.C:
 			s.log.Info("state", "all", s.state())
+			s.core.Beliefs(s.compare)
 		}
 	}
 }
 
+// compare logs what the module believes of each disk server beside what is on its way there.
+func (s *Scheduler) compare(beliefs []control.Belief) {
+	s.nodes.mu.Lock()
+	work := maps.Clone(s.nodes.work)
+	s.nodes.mu.Unlock()
+	var rows []any
+	for _, b := range beliefs {
+		rows = append(rows, slog.String(s.book.name(b.Server), fmt.Sprintf(
+			"%v out=%d work=%d used=%.0f depth=%.1f latency=%v fails=%d", b.Status, b.Out, work[b.Server], b.Used,
+			b.Depth, b.Latency.Round(100*time.Microsecond), b.Fails)))
+	}
+	s.log.Info("nodes", slog.Group("believed", rows...))
+}
+
 // state is what passes at the sockets, for the log.
 func (s *Scheduler) state() slog.Value {
 	f, n := s.front, s.nodes
--- a/internal/sched/edges.go
+++ b/internal/sched/edges.go
@@ -101,3 +101,8 @@
 
 // Heard takes a message of another instance in.
 func (c *Core) Heard(p control.Peer) { c.in.putPeer(p) }
+
+// Beliefs hands what the module believes of the nodes to tell, on the loop's goroutine.
+func (c *Core) Beliefs(tell func([]control.Belief)) {
+	c.in.put(func(l *loop) { tell(l.module.Beliefs()) })
+}
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -217,12 +217,12 @@
 		l.tell(control.Members{Form: control.ListFailed})
 	case notice:
 		if m, ok := l.view.Notice(l.c.clock(), x.server, x.boot); ok {
-			l.c.log.Info("node drains", "node", addrText(x.server), "told by", "node")
+			l.c.log.Info("node drains", "node", l.c.cfg.Name(x.server), "told by", "node")
 			l.tell(m)
 		}
 	case greeted:
 		if m, ok := l.view.Greeted(l.c.clock(), x.server, x.boot); ok {
-			l.c.log.Info("node restarted", "node", addrText(x.server), "told by", "node")
+			l.c.log.Info("node restarted", "node", l.c.cfg.Name(x.server), "told by", "node")
 			l.tell(m)
 		}
 	case control.Peer:
@@ -249,7 +249,7 @@
 		}
 		l.holds()
 		for _, e := range m.Entries {
-			l.c.log.Info("node listed", "node", addrText(e.Server), "status", e.Status.String(),
+			l.c.log.Info("node listed", "node", l.c.cfg.Name(e.Server), "status", e.Status.String(),
 				"cell", e.Cell)
 		}
 		select {
@@ -309,6 +309,11 @@
 // overdue is the net under the module: a call that it has not answered when its time is up is answered
 // here, and logged as the fault that it is.
 func (l *loop) overdue(k *Call) {
+	if !k.done && l.fresh {
+		// A loop that had no turn for long finds the end of an attempt and this in one batch: the module, which
+		// was only just told, has its word first.
+		l.decide()
+	}
 	if k.done {
 		return
 	}
@@ -399,7 +404,7 @@
 		}
 		at := r.piece.Range
 		l.c.log.Warn("write in part", "token", k.Token, "data", k.Data, "offset", at.Offset,
-			"length", at.Length, "state", state, "node", addrText(r.server), "last", r.why)
+			"length", at.Length, "state", state, "node", l.c.cfg.Name(r.server), "last", r.why)
 	}
 }
 
@@ -481,6 +486,11 @@
 	}
 	a.over = true
 	l.timers.cancel(a.timeout)
+	for _, e := range ends {
+		if e.code == code {
+			e.of(&l.c.Stats).Add(1)
+		}
+	}
 	r := a.req
 	r.out = slices.DeleteFunc(r.out, func(o *attempt) bool { return o == a })
 	r.why = reasonOf(code)
@@ -489,7 +499,7 @@
 		if k.done && k.Ask.Write && code.MayHaveRun() {
 			at := r.piece.Range
 			l.c.log.Info("piece of an answered write ended", "token", k.Token, "data", k.Data,
-				"offset", at.Offset, "length", at.Length, "node", addrText(a.server), "code", code)
+				"offset", at.Offset, "length", at.Length, "node", l.c.cfg.Name(a.server), "code", code)
 		}
 	}
 	out := control.Outcome{ID: r.id, Attempt: a.n, Server: a.server, Code: code, Took: l.now - a.at,
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -77,6 +77,7 @@
 	Learnt      string           // file of what was learnt; "": nothing is kept
 	Facts       carry.Site       // on which the meaning of that hangs
 	StopWithin  time.Duration
+	Name        func(control.Server) string // how logs call a node; nil: by its address
 	Log         *slog.Logger
 	Hooks       Hooks
 }
@@ -103,6 +104,9 @@
 	if c.log == nil {
 		c.log = slog.New(slog.DiscardHandler)
 	}
+	if c.cfg.Name == nil {
+		c.cfg.Name = addrText
+	}
 	c.held.Store(&[2]uint64{})
 	return c
 }
@@ -274,11 +278,30 @@
 	Taken, Served, Refused, Failed, Left            atomic.Uint64
 	Sends, Batches, Late, Moot, Overdue, KeptFailed atomic.Uint64
 
+	// Attempts that ended, by code.
+	OK, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, MootEnd atomic.Uint64
+
 	// Of ranged requests. Operations counts what was sent to nodes, an operation of several members once;
 	// Saved, what merging spared.
 	Split, Pieces, Operations, Merged, Members, Saved, Withdrawn, Partial, Copied atomic.Uint64
 }
 
+// ends are the codes by which attempts end, as they are counted and logged.
+var ends = []struct {
+	code control.Code
+	name string
+	of   func(*Stats) *atomic.Uint64
+}{
+	{control.OK, "ok", func(s *Stats) *atomic.Uint64 { return &s.OK }},
+	{control.Error, "error", func(s *Stats) *atomic.Uint64 { return &s.Error }},
+	{control.Full, "turned_away", func(s *Stats) *atomic.Uint64 { return &s.Full }},
+	{control.TimedOut, "timed_out", func(s *Stats) *atomic.Uint64 { return &s.TimedOut }},
+	{control.ConnectFailed, "connect_failed", func(s *Stats) *atomic.Uint64 { return &s.ConnectFailed }},
+	{control.Reset, "reset", func(s *Stats) *atomic.Uint64 { return &s.Reset }},
+	{control.Cancelled, "cancelled", func(s *Stats) *atomic.Uint64 { return &s.Cancelled }},
+	{control.Moot, "moot", func(s *Stats) *atomic.Uint64 { return &s.MootEnd }},
+}
+
 // LogValue lists the counters for the log, those of ranged requests only where there were some.
 func (s *Stats) LogValue() slog.Value {
 	var out []slog.Attr
@@ -291,6 +314,9 @@
 	add("sends", &s.Sends)
 	add("late", &s.Late)
 	add("overdue", &s.Overdue)
+	for _, c := range ends {
+		add(c.name, c.of(s))
+	}
 	if s.Pieces.Load() > 0 {
 		add("split", &s.Split)
 		add("pieces", &s.Pieces)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -239,4 +239,4 @@
 }
 
 // Continue tells that the list service goes on as it was when the list was kept: changes to that are believed.
-func (r *Roster) Continue() { r.known = r.version > 0 }
+func (r *Roster) Continue() { r.known = true }
