--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -40,7 +40,7 @@
 	sayWithin    = 2 * time.Second        // a request must be there whole so long after its connection or first byte
 	idleAtLeast  = 2 * time.Second        // a connection that idles for less is never closed from here,
 	idleAtMost   = 8 * time.Second        // and for more always
-	silentFrom   = 100 * time.Millisecond // for want of room one that has said nothing is closed after this,
+	silentFrom   = 5 * time.Millisecond   // for want of room one that has said nothing is closed after this,
 	slowFrom     = 700 * time.Millisecond // and one that has said half a request
 	writeWithin  = 2 * time.Second
 	readOff      = 1 << 20 // of what still comes after an error, so that the error arrives
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -35,7 +35,7 @@
 func boundsOf(c *Config) bounds {
 	free := c.Limits.Sockets - spareSockets
 	memory := int64(c.Limits.MemoryMB) << 20
-	b := bounds{clients: free * 55 / 100, bodies: memory / 8, memory: memory * 6 / 10}
+	b := bounds{clients: free * 60 / 100, bodies: memory / 8, memory: memory * 6 / 10}
 	b.nodes = free - b.clients
 	b.open = b.clients
 	if c.Site.MostOpen > 0 {
