--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -26,27 +26,28 @@
 
 // Names of the header fields that clients and disk servers use.
 const (
-	fieldID      = "X-Call-Id"
-	fieldClass   = "X-Call-Class"
-	fieldPlan    = "X-Storage-Class"
-	fieldBudget  = "X-Budget"
-	fieldExtent  = "X-Extent"
-	fieldAgain   = "X-Again"
-	fieldKey     = "Idempotency-Key"
-	queryExtent  = "extent"
-	pathHealth   = "/healthz"
-	maxID        = 128
-	longestWait  = time.Hour
-	sayWithin    = 2 * time.Second        // a request must be there whole so long after its connection or first byte
-	idleAtLeast  = 2 * time.Second        // a connection that idles for less is never closed from here,
-	idleAtMost   = 8 * time.Second        // and for more always
-	silentFrom   = 5 * time.Millisecond   // for want of room one that has said nothing is closed after this,
-	slowFrom     = 700 * time.Millisecond // and one that has said half a request
+	fieldID     = "X-Call-Id"
+	fieldClass  = "X-Call-Class"
+	fieldPlan   = "X-Storage-Class"
+	fieldBudget = "X-Budget"
+	fieldExtent = "X-Extent"
+	fieldAgain  = "X-Again"
+	fieldKey    = "Idempotency-Key"
+	queryExtent = "extent"
+	pathHealth  = "/healthz"
+	maxID       = 128
+	longestWait = time.Hour
+	sayWithin   = 2 * time.Second // a request must be there whole so long after its connection or first byte
+	// A connection that idles for longer is closed: some are kept for good, and clients hold only so many.
+	idleAtMost   = 2 * time.Second
+	idleAtLeast  = 200 * time.Millisecond // for want of room it is closed after this,
+	silentFrom   = 5 * time.Millisecond   // one that has said nothing after this,
+	slowFrom     = 700 * time.Millisecond // and one that has said half a request after this
 	writeWithin  = 2 * time.Second
 	readOff      = 1 << 20 // of what still comes after an error, so that the error arrives
 	readOffFor   = 300 * time.Millisecond
 	clientHead   = 8 << 10
-	sweepClients = 500 * time.Millisecond
+	sweepClients = 100 * time.Millisecond
 )
 
 // front takes requests from clients, bounds them and hands them to the loop.
@@ -56,6 +57,7 @@
 	log  *slog.Logger
 	lim  bounds
 
+	staying atomic.Bool // clients' connections are left open, as new ones come no more
 	closing atomic.Bool // answers carry Connection: close
 	bodies  atomic.Int64
 
@@ -66,14 +68,14 @@
 	counts frontCounts
 }
 
-type frontCounts struct{ accepted, turned, evicted, malformed, doubled, crowded atomic.Uint64 }
+type frontCounts struct{ accepted, turned, evicted, silent, malformed, doubled, crowded atomic.Uint64 }
 
 // clientConn is one client's connection. Its state belongs to the front's lock.
 type clientConn struct {
 	conn  net.Conn
 	rd    *http1.Reader
 	state connState
-	said  bool      // the head of a request has come
+	asked int       // requests whose head has come
 	since time.Time // of the state
 }
 
@@ -89,7 +91,7 @@
 // goes before. One whose request is in work is never closed.
 func (c *clientConn) missed() (rank int, after time.Duration) {
 	switch {
-	case c.state == idling && !c.said:
+	case c.state == idling && c.asked == 0:
 		return 0, silentFrom
 	case c.state == reading:
 		return 1, slowFrom
@@ -186,6 +188,25 @@
 	return false
 }
 
+// crowd counts the connections by what they are at: silent so far, saying a request, idle, with one in work.
+func (f *front) crowd() (silent, saying, idle, work int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		switch {
+		case c.state == working:
+			work++
+		case c.state == reading:
+			saying++
+		case c.asked > 0:
+			idle++
+		default:
+			silent++
+		}
+	}
+	return silent, saying, idle, work
+}
+
 func (f *front) leave(c *clientConn) {
 	f.mu.Lock()
 	delete(f.conns, c)
@@ -201,24 +222,51 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			f.closeIdle(idleAtMost)
+			if f.staying.Load() {
+				continue
+			}
+			f.closeIdle(idleAtMost, -1)
+			f.closeIdle(idleAtLeast, f.lim.kept)
 		}
 	}
 }
 
-// closeIdle closes connections without an open request that have idled for so long.
-func (f *front) closeIdle(least time.Duration) {
+// closeIdle closes connections without an open request that have idled for so long, as long as more than keep
+// have said something: those that asked once go first, then the longest idle.
+func (f *front) closeIdle(least time.Duration, keep int) {
+	type row struct {
+		c     *clientConn
+		again bool
+		since time.Time
+	}
+	var rows []row
+	said := 0
 	f.mu.Lock()
-	var rows []*clientConn
 	for c := range f.conns {
+		if c.asked > 0 {
+			said++
+		}
 		if c.state == idling && time.Since(c.since) >= least {
-			rows = append(rows, c)
+			rows = append(rows, row{c, c.asked > 1, c.since})
 		}
 	}
 	f.mu.Unlock()
-	for _, c := range rows {
-		if quiet(c.conn) {
-			c.conn.Close()
+	slices.SortFunc(rows, func(a, b row) int {
+		if a.again != b.again {
+			if a.again {
+				return 1
+			}
+			return -1
+		}
+		return a.since.Compare(b.since)
+	})
+	for _, r := range rows {
+		if said <= keep {
+			return
+		}
+		if quiet(r.c.conn) {
+			r.c.conn.Close()
+			said--
 		}
 	}
 }
@@ -226,7 +274,9 @@
 func (f *front) mark(c *clientConn, state connState) {
 	f.mu.Lock()
 	c.state, c.since = state, time.Now()
-	c.said = c.said || state == working
+	if state == working {
+		c.asked++
+	}
 	f.mu.Unlock()
 }
 
@@ -238,6 +288,9 @@
 	for {
 		c.conn.SetReadDeadline(by)
 		if err := c.rd.Await(); err != nil {
+			if c.asked == 0 {
+				f.counts.silent.Add(1)
+			}
 			return // gone, or it has said nothing
 		}
 		f.mark(c, reading)
@@ -586,7 +639,7 @@
 // bye closes the connections that idle, and all others after their answer.
 func (f *front) bye() {
 	f.closing.Store(true)
-	f.closeIdle(0)
+	f.closeIdle(0, -1)
 }
 
 // closeAll ends what is left.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,11 +20,13 @@
 
 // bounds are what the machine's limits leave for each use.
 type bounds struct {
-	clients int   // connections of clients
-	nodes   int   // connections to disk servers
-	open    int   // requests in work
-	bodies  int64 // bytes of requests' bodies in work
-	memory  int64 // bytes that the runtime aims to stay under
+	clients int // connections of clients
+	kept    int // of these that may idle for a while: clients hold a third of the descriptors at most, and what
+	// is kept for good by one is missing to the next request
+	nodes  int   // connections to disk servers
+	open   int   // requests in work
+	bodies int64 // bytes of requests' bodies in work
+	memory int64 // bytes that the runtime aims to stay under
 }
 
 // spareSockets are set aside for discovery, peers, the listener, logs and the runtime.
@@ -35,7 +37,7 @@
 func boundsOf(c *Config) bounds {
 	free := c.Limits.Sockets - spareSockets
 	memory := int64(c.Limits.MemoryMB) << 20
-	b := bounds{clients: free * 60 / 100, bodies: memory / 8, memory: memory * 6 / 10}
+	b := bounds{clients: free * 60 / 100, kept: c.Limits.Sockets / 4, bodies: memory / 8, memory: memory * 6 / 10}
 	b.nodes = free - b.clients
 	b.open = b.clients
 	if c.Site.MostOpen > 0 {
@@ -207,6 +209,7 @@
 	case <-s.term:
 	}
 	last, end := stopTimes(&s.cfg.Site.Control)
+	s.front.staying.Store(true)
 	s.log.Info("scheduler stops", "cause", "asked", "serves", last, "ends", end)
 	if !wait(last) {
 		return
@@ -248,9 +251,7 @@
 // state is what passes at the sockets, for the log.
 func (s *Scheduler) state() slog.Value {
 	f, n := s.front, s.nodes
-	f.mu.Lock()
-	clients, open := len(f.conns), len(f.open)
-	f.mu.Unlock()
+	silent, saying, idling, work := f.crowd()
 	n.mu.Lock()
 	held, idle := n.held, 0
 	for _, row := range n.idle {
@@ -259,10 +260,10 @@
 	n.mu.Unlock()
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
-	return slog.GroupValue(slog.Any("counters", &s.core.Stats), slog.Int("clients", clients), slog.Int("open", open),
+	return slog.GroupValue(slog.Any("counters", &s.core.Stats), slog.Int("silent", silent), slog.Int("saying", saying), slog.Int("idle", idling), slog.Int("work", work),
 		slog.Int("node_conns", held), slog.Int("node_idle", idle),
 		slog.Uint64("accepted", f.counts.accepted.Load()), slog.Uint64("turned", f.counts.turned.Load()),
-		slog.Uint64("evicted", f.counts.evicted.Load()), slog.Uint64("malformed", f.counts.malformed.Load()),
+		slog.Uint64("never_said", f.counts.silent.Load()), slog.Uint64("evicted", f.counts.evicted.Load()), slog.Uint64("malformed", f.counts.malformed.Load()),
 		slog.Uint64("doubled", f.counts.doubled.Load()), slog.Uint64("crowded", f.counts.crowded.Load()),
 		slog.Uint64("dialed", n.counts.dialed.Load()), slog.Uint64("reused", n.counts.reused.Load()),
 		slog.Uint64("stale", n.counts.stale.Load()), slog.Uint64("spoilt", n.counts.spoilt.Load()),
