--- /dev/null
+++ b/internal/sched/edges_test.go
@@ -0,0 +1,75 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"landingpaddle/control"
+	"landingpaddle/internal/proto"
+	"landingpaddle/roster"
+)
+
+// noEdges carries nothing out and notes what it was asked for.
+type noEdges struct {
+	sent []*Operation
+	off  int
+	got  []proto.Answer
+}
+
+func (e *noEdges) Send(op *Operation)                    { e.sent = append(e.sent, op) }
+func (e *noEdges) CallOff(*Operation)                    { e.off++ }
+func (e *noEdges) CallOffMember(*Operation, int)         {}
+func (e *noEdges) Probe(control.Server)                  {}
+func (e *noEdges) CloseIdle(control.Server)              {}
+func (e *noEdges) Watch(bool)                            {}
+func (e *noEdges) Fetch()                                {}
+func (e *noEdges) FetchWhole()                           {}
+func (e *noEdges) Answer(a proto.Answer, payload []byte) { e.got = append(e.got, a) }
+
+// A loop that had no turn for long finds an attempt's end and the net under the module due at once: the module,
+// told of the end, must have its word before the net answers in its place.
+func TestModuleSpeaksBeforeTheNet(t *testing.T) {
+	edges := &noEdges{}
+	server := control.Server{Addr: [4]byte{1}, Port: 1}
+	c := NewCore(CoreConfig{AnswerSlack: 8 * time.Millisecond, OneList: true,
+		Known: roster.Kept{Version: 3, Entries: []roster.Entry{{Server: server, Status: control.Ready}}},
+		Settings: control.Settings{Hosts: 1, MaxAttempts: 1, MeanUnits: 1, MostUnits: 1,
+			Classes: []control.Class{{Aim: time.Second, Deadline: time.Second, Repeat: control.Unsafe}},
+			Plans:   []control.Plan{{Weight: 1}}}})
+	l := newLoop(c, Edges{Nodes: edges, List: edges})
+	l.now = c.now()
+	l.tell(l.view.Restore(c.clock(), c.cfg.Known))
+	if why := c.Admit(1); why != "" {
+		t.Fatal(why)
+	}
+	l.take(&Call{Caller: edges, At: l.now, Wait: time.Second, Ask: control.Request{Units: 1, Writers: 1, Volume: 1}})
+	l.decide()
+	if len(edges.sent) != 1 || edges.sent[0].Server() != server || edges.sent[0].Caller() != Caller(edges) {
+		t.Fatalf("%d operations sent", len(edges.sent))
+	}
+	l.now += 5 * time.Second
+	l.timers.run(l.now)
+	if len(edges.got) != 1 || edges.got[0].Code != proto.Failed || edges.got[0].Reason != ReasonTimeout ||
+		c.Stats.Overdue.Load() != 0 || c.Stats.TimedOut.Load() != 1 || edges.off != 1 || c.open.Load() != 0 {
+		t.Errorf("answers %+v, overdue %d, timed out %d, called off %d, open %d", edges.got, c.Stats.Overdue.Load(),
+			c.Stats.TimedOut.Load(), edges.off, c.open.Load())
+	}
+	if b := l.module.Beliefs(); len(b) != 1 || b[0].Server != server || b[0].Out != 0 || b[0].Status != control.Ready {
+		t.Errorf("the module believes %+v", b)
+	}
+}
+
+// A list service that goes on as it was may tell a restarted instance just what changed since the list it kept.
+func TestKeptListOfOneService(t *testing.T) {
+	for _, one := range []bool{true, false} {
+		view := roster.New(0)
+		view.Restore(roster.Clock{Now: time.Hour}, roster.Kept{Version: 3})
+		if one {
+			view.Continue()
+		}
+		_, verdict := view.Hear(roster.Clock{Now: time.Hour}, roster.News{Version: 4, Since: 3})
+		if (verdict == roster.Believed) != one {
+			t.Errorf("one service %v: verdict %v", one, verdict)
+		}
+	}
+}
