A watch that stood and broke is opened again eight times sooner; silence is noticed after 2.8 s

Checked in the logs: discovery breaks watches in the middle of a line, up to five times in 20 s, and calls then work at once; the module asked again one to two seconds later (members in control/control.go). Ruled out: the driver (a change reaches the module in its batch), the attempts (module's out and sockets in work agree at every disk server). Now the first wait after a watch that stood is an eighth.

--- a/control/control.go
+++ b/control/control.go
@@ -337,8 +337,12 @@
 func (h *Host) members(m Members) {
 	if m.Form == ListFailed {
 		if h.set.Ask && (h.watched || h.watchAt > h.now+2*watchAgain) {
+			wait := watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain)))
+			if h.watched { // one that stood and broke is mostly back at once; one that cannot be opened is not
+				wait /= 8
+			}
 			h.watched = false
-			h.watchIn(watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain))))
+			h.watchIn(wait)
 		}
 		return
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -940,3 +940,29 @@
 		t.Errorf("%d of 5000 answered, %d still out", got, r.h.out)
 	}
 }
+
+// A watch that stood and broke is mostly back at once, and until then the list is old: it is asked for soon.
+// One that cannot be opened is asked for at leisure, as its service is down or has much to do.
+func TestWatchThatBrokeIsReopenedSooner(t *testing.T) {
+	set := settings()
+	set.Ask, set.AskWithin = true, 10*time.Second
+	r := start(t, set, 1)
+	after := func(acts []Action) time.Duration {
+		for _, a := range acts {
+			if s, ok := a.(SetTimer); ok && s.Token == tokenWatch {
+				return s.After
+			}
+		}
+		t.Fatalf("no new watch in %v", acts)
+		return 0
+	}
+	r.do(Members{Form: ListDelta})
+	if d := after(r.do(Members{Form: ListFailed})); d < watchAgain/8 || d > watchAgain/4 {
+		t.Errorf("one that stood: asked for after %v", d)
+	}
+	r.now += watchAgain
+	r.do(Timer{Token: tokenWatch})
+	if d := after(r.do(Members{Form: ListFailed})); d < watchAgain || d > 2*watchAgain {
+		t.Errorf("one that could not be opened: asked for after %v", d)
+	}
+}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	beatWithin  = 3500 * time.Millisecond // a watch says something every 2 s; silent for longer it is dead
-	callWithin  = 3 * time.Second         // until discovery's answer begins
+	beatWithin  = 2800 * time.Millisecond // a watch says something every 2 s; silent for longer it is dead
+	callWithin  = 2 * time.Second         // until discovery's answer begins
 	maxList     = 1 << 20                 // bytes of a list, or of one line of a watch
 	watchBuffer = 4 << 10
 	pathServers = "/v1/servers"
