--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"log/slog"
 	"net"
 	"runtime"
 	"strings"
@@ -450,3 +451,15 @@
 		t.Error("the document names no limits")
 	}
 }
+
+func TestExampleLoads(t *testing.T) {
+	cfg, err := Load(func(name string) string {
+		return map[string]string{"BALANCER_CONFIG": "../../examples/platform.json"}[name]
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(cfg, slog.New(slog.DiscardHandler)); err != nil {
+		t.Fatal(err)
+	}
+}
