--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -60,10 +60,10 @@
 // long as what comes can still be answered.
 const (
 	leastAccept = 550 * time.Millisecond // new clients come for a moment, as news of a stop reaches them late
-	leastAnswer = 250 * time.Millisecond // of what came by then
+	leastAnswer = 200 * time.Millisecond // of what came by then
 	killMost    = 3 * time.Second        // a longer deadline counts as this
 	killSpare   = 700 * time.Millisecond
-	killMargin  = 150 * time.Millisecond
+	killMargin  = 100 * time.Millisecond
 )
 
 // stopTimes is when a scheduler that is stopping takes nothing new any more, and when all that is still open
@@ -74,7 +74,8 @@
 		deadline, aim = max(deadline, c.Deadline), max(aim, c.Aim)
 	}
 	end = max(min(deadline, killMost)+killSpare-killMargin, leastAccept+leastAnswer)
-	return max(leastAccept, end-max(aim, leastAnswer)), end
+	// Half of the aim is enough for most: what is refused a connection here is lost to its client either way.
+	return max(leastAccept, end-max(aim/2, leastAnswer)), end
 }
 
 // Scheduler is one scheduler on the platform.
