--- a/cmd/landingpaddle/main.go
+++ b/cmd/landingpaddle/main.go
@@ -15,16 +15,17 @@
 )
 
 type cli struct {
-	Serve    serveCmd    `cmd:"" help:"Run one instance of the scheduler from a settings file (instance …)."`
-	Node     nodeCmd     `cmd:"" help:"Run a stand-in storage node from a settings file (node …)."`
-	List     listCmd     `cmd:"" help:"Run a stand-in list service from a settings file (list …)."`
-	Call     callCmd     `cmd:"" help:"Send requests to an instance as a stand-in client."`
-	Day      dayCmd      `cmd:"" help:"Play a whole day on loopback sockets in this process and judge the rules."`
-	Sweep    sweepCmd    `cmd:"" help:"Play a day for several values of one bound on merging, and compare."`
-	Expect   expectCmd   `cmd:"" help:"Check what is expected of a fleet (fleet …), without traffic."`
-	Platform platformCmd `cmd:"" help:"Run one scheduler as the platform starts it, configured by BALANCER_CONFIG."`
-	Check    checkCmd    `cmd:"" help:"Check a settings file and print the settings in force."`
-	Audit    auditCmd    `cmd:"" help:"Judge the rules from the logs in a folder."`
+	Serve  serveCmd  `cmd:"" help:"Run one instance of the scheduler from a settings file (instance …)."`
+	Node   nodeCmd   `cmd:"" help:"Run a stand-in storage node from a settings file (node …)."`
+	List   listCmd   `cmd:"" help:"Run a stand-in list service from a settings file (list …)."`
+	Call   callCmd   `cmd:"" help:"Send requests to an instance as a stand-in client."`
+	Day    dayCmd    `cmd:"" help:"Play a whole day on loopback sockets in this process and judge the rules."`
+	Sweep  sweepCmd  `cmd:"" help:"Play a day for several values of one bound on merging, and compare."`
+	Expect expectCmd `cmd:"" help:"Check what is expected of a fleet (fleet …), without traffic."`
+	Check  checkCmd  `cmd:"" help:"Check a settings file and print the settings in force."`
+	Audit  auditCmd  `cmd:"" help:"Judge the rules from the logs in a folder."`
+
+	Platform platformCmd `cmd:"" help:"Run one scheduler as the platform starts it (BALANCER_CONFIG)."`
 }
 
 // errBroken ends a command whose verdict has been printed already.
--- a/control/belief.go
+++ b/control/belief.go
@@ -25,7 +25,8 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b Belief) int {
-		return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]), cmp.Compare(a.Server.Port, b.Server.Port))
+		return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]), cmp.Compare(a.Server.Port,
+			b.Server.Port))
 	})
 	return all
 }
--- a/control/control.go
+++ b/control/control.go
@@ -338,7 +338,7 @@
 	if m.Form == ListFailed {
 		if h.set.Ask && (h.watched || h.watchAt > h.now+2*watchAgain) {
 			wait := watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain)))
-			if h.watched { // one that stood and broke is mostly back at once; one that cannot be opened is not
+			if h.watched { // one that stood and broke is mostly back at once
 				wait /= 8
 			}
 			h.watched = false
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -13,7 +13,8 @@
 const head = "Host: a\r\nX-Call-Id: 1\r\n"
 
 func TestRequestRead(t *testing.T) {
-	src := "PUT /api?extent=01 HTTP/1.1\r\n" + head + "Content-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, Close\r\n\r\n"
+	src := "PUT /api?extent=01 HTTP/1.1\r\n" + head +
+		"Content-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: a\r\nConnection: keep-alive, Close\r\n\r\n"
 	for name, from := range map[string]io.Reader{"whole": strings.NewReader(src),
 		"byte by byte": iotest.OneByteReader(strings.NewReader(src))} {
 		r := NewReader(from, lim)
@@ -57,21 +58,27 @@
 		"two hosts":            {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
 		"target without slash": {"GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", 400},
 		"target with control":  {"GET /\x7f HTTP/1.1\r\nHost: a\r\n\r\n", 400},
-		"length twice":         {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 1\r\nContent-Length: 1\r\n\r\na", 400},
-		"length negative":      {"PUT / HTTP/1.1\r\n" + head + "Content-Length: -1\r\n\r\n", 400},
-		"length signed":        {"PUT / HTTP/1.1\r\n" + head + "Content-Length: +1\r\n\r\na", 400},
-		"length listed":        {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 1, 1\r\n\r\na", 400},
-		"length empty":         {"PUT / HTTP/1.1\r\n" + head + "Content-Length:\r\n\r\n", 400},
-		"length huge":          {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 60000000\r\n\r\n", 413},
-		"length overflows":     {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 99999999999999999999\r\n\r\n", 413},
-		"length and coding":    {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
-		"coding":               {"PUT / HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411},
-		"coding unknown":       {"PUT / HTTP/1.1\r\n" + head + "Transfer-Encoding: xchunked\r\n\r\n", 501},
-		"coding twice":         {"PUT / HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", 400},
-		"GET with a body":      {"GET / HTTP/1.1\r\n" + head + "Content-Length: 1\r\n\r\na", 400},
-		"head without end":     {"GET / HTTP/1.1\r\n" + strings.Repeat("X-A: aaaaaaaaaaaaaaaa\r\n", 200), 431},
-		"line without end":     {"GET /" + strings.Repeat("a", 5000), 431},
-		"many fields":          {"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 100) + "\r\n", 431},
+		"length twice": {"PUT / HTTP/1.1\r\n" + head +
+			"Content-Length: 1\r\nContent-Length: 1\r\n\r\na", 400},
+		"length negative": {"PUT / HTTP/1.1\r\n" + head + "Content-Length: -1\r\n\r\n", 400},
+		"length signed":   {"PUT / HTTP/1.1\r\n" + head + "Content-Length: +1\r\n\r\na", 400},
+		"length listed":   {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 1, 1\r\n\r\na", 400},
+		"length empty":    {"PUT / HTTP/1.1\r\n" + head + "Content-Length:\r\n\r\n", 400},
+		"length huge":     {"PUT / HTTP/1.1\r\n" + head + "Content-Length: 60000000\r\n\r\n", 413},
+		"length overflows": {"PUT / HTTP/1.1\r\n" + head +
+			"Content-Length: 99999999999999999999\r\n\r\n", 413},
+		"length and coding": {"PUT / HTTP/1.1\r\n" + head +
+			"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"coding": {"PUT / HTTP/1.1\r\n" + head +
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411},
+		"coding unknown": {"PUT / HTTP/1.1\r\n" + head + "Transfer-Encoding: xchunked\r\n\r\n", 501},
+		"coding twice": {"PUT / HTTP/1.1\r\n" + head +
+			"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", 400},
+		"GET with a body": {"GET / HTTP/1.1\r\n" + head + "Content-Length: 1\r\n\r\na", 400},
+		"head without end": {"GET / HTTP/1.1\r\n" + strings.Repeat("X-A: aaaaaaaaaaaaaaaa\r\n", 200),
+			431},
+		"line without end": {"GET /" + strings.Repeat("a", 5000), 431},
+		"many fields":      {"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 100) + "\r\n", 431},
 	} {
 		q, err := NewReader(strings.NewReader(c.src), lim).Request()
 		var e *Error
@@ -88,19 +95,24 @@
 		last      bool
 		left      int // bytes that belong to no answer
 	}{
-		"plain":        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "hi", 200, false, 0},
-		"interim":      {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nh", "h", 200, false, 0},
-		"chunked":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n1\r\n!\r\n0\r\nA: b\r\n\r\n", "hi!", 200, false, 0},
-		"to the end":   {"HTTP/1.1 200 OK\r\n\r\nhi", "hi", 200, true, 0},
-		"close":        {"HTTP/1.1 500 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "", 500, true, 0},
-		"no reason":    {"HTTP/1.1 204\r\n\r\n", "", 204, false, 0},
-		"more behind":  {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nhHTTP/1.1 200 OK\r\n", "h", 200, false, 17},
+		"plain": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "hi", 200, false, 0},
+		"interim": {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 x\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n" +
+			"Content-Length: 1\r\n\r\nh", "h", 200, false, 0},
+		"chunked": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n1\r\n!\r\n" +
+			"0\r\nA: b\r\n\r\n", "hi!", 200, false, 0},
+		"to the end": {"HTTP/1.1 200 OK\r\n\r\nhi", "hi", 200, true, 0},
+		"close": {"HTTP/1.1 500 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "", 500, true,
+			0},
+		"no reason": {"HTTP/1.1 204\r\n\r\n", "", 204, false, 0},
+		"more behind": {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nhHTTP/1.1 200 OK\r\n", "h", 200,
+			false, 17},
 		"older":        {"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nh", "h", 200, true, 0},
 		"empty length": {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", 200, false, 0},
 	} {
 		r := NewReader(strings.NewReader(c.src), lim)
 		p, err := r.Response()
-		if err != nil || p.Status != c.status || string(p.Body) != c.body || p.Close != c.last || r.Buffered() != c.left {
+		if err != nil || p.Status != c.status || string(p.Body) != c.body || p.Close != c.last ||
+			r.Buffered() != c.left {
 			t.Errorf("%s: %+v, %v, %d left", name, p, err, r.Buffered())
 		}
 	}
@@ -119,11 +131,12 @@
 
 func TestResponseSpoilt(t *testing.T) {
 	for name, src := range map[string]string{
-		"noise":            "\x16\x03\x01 not an answer",
-		"noise, no line":   strings.Repeat("z", 100),
-		"status":           "HTTP/1.1 20x OK\r\n\r\n",
-		"switching":        "HTTP/1.1 101 x\r\n\r\n",
-		"both framings":    "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+		"noise":          "\x16\x03\x01 not an answer",
+		"noise, no line": strings.Repeat("z", 100),
+		"status":         "HTTP/1.1 20x OK\r\n\r\n",
+		"switching":      "HTTP/1.1 101 x\r\n\r\n",
+		"both framings": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"1\r\na\r\n0\r\n\r\n",
 		"two lengths":      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\naa",
 		"huge":             "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
 		"huge chunk":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n",
@@ -143,7 +156,8 @@
 			t.Errorf("%s: %d bytes read", name, tail.n)
 		}
 	}
-	for name, src := range map[string]string{"in the head": "HTTP/1.1 200 OK\r\nA", "in the body": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na"} {
+	for name, src := range map[string]string{"in the head": "HTTP/1.1 200 OK\r\nA",
+		"in the body": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na"} {
 		if _, err := NewReader(strings.NewReader(src), lim).Response(); !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Errorf("ends %s: %v", name, err)
 		}
@@ -151,7 +165,8 @@
 }
 
 func FuzzRequest(f *testing.F) {
-	f.Add([]byte("PUT /a?b=c HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhiGET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	f.Add([]byte("PUT /a?b=c HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhiGET / HTTP/1.1\r\nHost: " +
+		"a\r\n\r\n"))
 	f.Add([]byte("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, src []byte) {
 		r := NewReader(strings.NewReader(string(src)), lim)
@@ -174,7 +189,8 @@
 					pass = append(pass, h)
 				}
 			}
-			again := NewReader(strings.NewReader(string(AppendRequest(nil, q.Method, q.Target, pass, body))), Limits{4096, 4096})
+			again := NewReader(strings.NewReader(string(AppendRequest(nil, q.Method, q.Target, pass,
+				body))), Limits{4096, 4096})
 			p, err := again.Request()
 			if err != nil || p.Method != q.Method || p.Target != q.Target || p.Length != q.Length {
 				t.Fatalf("%+v became %+v, %v", q, p, err)
@@ -194,7 +210,8 @@
 		if len(p.Body) > lim.Body || p.Status < 200 {
 			t.Fatalf("status %d with %d bytes", p.Status, len(p.Body))
 		}
-		again, err := NewReader(strings.NewReader(string(AppendResponse(nil, 200, "OK", nil, p.Body))), lim).Response()
+		again, err := NewReader(strings.NewReader(string(AppendResponse(nil, 200, "OK", nil, p.Body))),
+			lim).Response()
 		if err != nil || string(again.Body) != string(p.Body) {
 			t.Fatalf("a body of %d bytes became %v, %v", len(p.Body), again, err)
 		}
--- a/internal/platform/book.go
+++ b/internal/platform/book.go
@@ -35,8 +35,8 @@
 // may be on their way to it.
 const bookKeep = time.Minute
 
-// book knows under which address each disk server is reached from here. A disk server is its instanceId, alike
-// at every scheduler; its address may differ from one to the next.
+// book knows under which address each disk server is reached from here. A disk server is its instanceId,
+// alike at every scheduler; its address may differ from one to the next.
 type book struct {
 	mu    sync.Mutex
 	pages map[control.Server]page
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -1,7 +1,7 @@
 // Package platform runs the scheduler as the platform's machines want it: its configuration, HTTP/1.1 from
-// clients and to disk servers, its discovery, datagrams between schedulers, and signals. It is one more way in
-// and out of the loop in package sched and decides nothing: health, retries, shares, order, drains and every
-// time-out but those of connections are the module's.
+// clients and to disk servers, its discovery, datagrams between schedulers, and signals. It is one more
+// way in and out of the loop in package sched and decides nothing: health, retries, shares, order, drains
+// and every time-out but those of connections are the module's.
 package platform
 
 import (
@@ -132,7 +132,8 @@
 	case l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0:
 		return fmt.Errorf("key %q: a limit is negative", "limits")
 	case l.Sockets > 0 && l.Sockets < leastSockets:
-		return fmt.Errorf("key %q: %d sockets are too few, %d are needed", "limits.sockets", l.Sockets, leastSockets)
+		return fmt.Errorf("key %q: %d sockets are too few, %d are needed", "limits.sockets", l.Sockets,
+			leastSockets)
 	}
 	if l.MemoryMB == 0 {
 		l.MemoryMB = defaultMemoryMB
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -45,10 +45,10 @@
 func newDiscovery(ctx context.Context, core *sched.Core, site *wire.Site, addr string, book *book,
 	log *slog.Logger) *discovery {
 	dial := &net.Dialer{Timeout: callWithin}
-	return &discovery{core: core, site: site, book: book, log: log, ctx: ctx, addr: addr,
-		client: &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-			Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true,
-				ResponseHeaderTimeout: callWithin, MaxResponseHeaderBytes: 16 << 10}}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true,
+		ResponseHeaderTimeout: callWithin, MaxResponseHeaderBytes: 16 << 10}}
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &discovery{core: core, site: site, book: book, log: log, ctx: ctx, addr: addr, client: client}
 }
 
 // Watch opens the standing watch anew, or ends it.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -176,7 +176,9 @@
 		}
 	}
 	f.mu.Unlock()
-	slices.SortFunc(rows, func(a, b row) int { return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since)) })
+	slices.SortFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since))
+	})
 	for _, r := range rows {
 		if !r.quiet || quiet(r.c.conn) {
 			f.counts.evicted.Add(1)
@@ -215,20 +217,12 @@
 
 // sweep closes connections that have idled for long until ctx ends.
 func (f *front) sweep(ctx context.Context) {
-	tick := time.NewTicker(sweepClients)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			if f.staying.Load() {
-				continue
-			}
+	every(ctx, sweepClients, func() {
+		if !f.staying.Load() {
 			f.closeIdle(idleAtMost, -1)
 			f.closeIdle(idleAtLeast, f.lim.kept)
 		}
-	}
+	})
 }
 
 // closeIdle closes connections without an open request that have idled for so long, as long as more than keep
@@ -366,7 +360,8 @@
 	f.counts.malformed.Add(1)
 	f.log.Debug("request turned away", "status", e.Status, "cause", e.What)
 	c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
-	b := http1.AppendResponse(nil, e.Status, http.StatusText(e.Status), closeHeader(nil, true), []byte(e.What+"\n"))
+	b := http1.AppendResponse(nil, e.Status, http.StatusText(e.Status), closeHeader(nil, true),
+		[]byte(e.What+"\n"))
 	if _, err := c.conn.Write(b); err != nil {
 		return
 	}
@@ -532,7 +527,8 @@
 			if f.site.Shards > 0 {
 				most = f.site.Shards - 1
 			}
-			if ask.Cell, err = strconv.Atoi(value); err != nil || ask.Cell < control.NewObject || ask.Cell > most {
+			if ask.Cell, err = strconv.Atoi(value); err != nil || ask.Cell < control.NewObject ||
+				ask.Cell > most {
 				return bad(fieldExtent + ": shard out of range")
 			}
 		case "hosts":
@@ -616,11 +612,13 @@
 	case proto.Refused:
 		status = 503
 		if a.Advice > 0 {
-			h = append(h, http1.Field{Name: "Retry-After", Value: strconv.FormatFloat(a.Advice.Seconds(), 'f', 3, 64)})
+			h = append(h, http1.Field{Name: "Retry-After", Value: strconv.FormatFloat(a.Advice.Seconds(),
+				'f', 3, 64)})
 		}
 	default:
 		status = 502
-		if a.Reason == sched.ReasonTimeout || a.Reason == sched.ReasonHeld || a.Reason == sched.ReasonOverdue {
+		if a.Reason == sched.ReasonTimeout || a.Reason == sched.ReasonHeld ||
+			a.Reason == sched.ReasonOverdue {
 			status = 504
 		}
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -68,7 +68,8 @@
 	over bool // nobody waits any more
 }
 
-func newNodes(ctx context.Context, core *sched.Core, cfg *Config, book *book, log *slog.Logger, most int) *nodes {
+func newNodes(ctx context.Context, core *sched.Core, cfg *Config, book *book, log *slog.Logger,
+	most int) *nodes {
 	return &nodes{ctx: ctx, core: core, cfg: cfg, book: book, log: log, most: most,
 		idle: map[control.Server][]*nodeConn{}, work: map[control.Server]int{}}
 }
@@ -121,8 +122,8 @@
 	}
 }
 
-// try sends the request once and reads what comes back. What it returns follows the protocol's table: until the
-// last byte of the request is written it has never run, after that it may have.
+// try sends the request once and reads what comes back. What it returns follows the protocol's table:
+// until the last byte of the request is written it has never run, after that it may have.
 func (a *attempt) try() (control.Code, proto.Answer, []byte) {
 	n, none := a.n, proto.Answer{}
 	at, ok := n.book.find(a.op.Server())
@@ -331,20 +332,13 @@
 
 // sweep closes connections ahead of the time after which disk servers do, until ctx ends.
 func (n *nodes) sweep(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			n.closeWhere(func(control.Server, *nodeConn) bool { return true })
-			return
-		case <-tick.C:
-			n.closeWhere(func(s control.Server, c *nodeConn) bool {
-				at, listed := n.book.find(s)
-				return time.Since(c.since) >= n.idleFor() || !listed || !at.goneAt.IsZero()
-			})
-		}
-	}
+	every(ctx, time.Second, func() {
+		n.closeWhere(func(s control.Server, c *nodeConn) bool {
+			at, listed := n.book.find(s)
+			return time.Since(c.since) >= n.idleFor() || !listed || !at.goneAt.IsZero()
+		})
+	})
+	n.closeWhere(func(control.Server, *nodeConn) bool { return true })
 }
 
 func (n *nodes) closeWhere(old func(control.Server, *nodeConn) bool) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,9 +20,10 @@
 
 // bounds are what the machine's limits leave for each use.
 type bounds struct {
-	clients int // connections of clients
-	kept    int // of these that may idle for a while: clients hold a third of the descriptors at most, and what
-	// is kept for good by one is missing to the next request
+	clients int // connections of clients,
+	// and how many of these may idle for a while: clients hold a third of the descriptors at most, and what
+	// one of them keeps for good is missing to the next request.
+	kept   int
 	nodes  int   // connections to disk servers
 	open   int   // requests in work
 	bodies int64 // bytes of requests' bodies in work
@@ -37,7 +38,8 @@
 func boundsOf(c *Config) bounds {
 	free := c.Limits.Sockets - spareSockets
 	memory := int64(c.Limits.MemoryMB) << 20
-	b := bounds{clients: free * 60 / 100, kept: c.Limits.Sockets / 4, bodies: memory / 8, memory: memory * 6 / 10}
+	b := bounds{clients: free * 60 / 100, kept: c.Limits.Sockets / 4, bodies: memory / 8,
+		memory: memory * 6 / 10}
 	b.nodes = free - b.clients
 	b.open = b.clients
 	if c.Site.MostOpen > 0 {
@@ -99,7 +101,8 @@
 
 // New prepares a scheduler.
 func New(cfg *Config, log *slog.Logger) (*Scheduler, error) {
-	s := &Scheduler{cfg: cfg, discoveryAt: cfg.Discovery, log: log.With("name", cfg.Name), book: newBook(), lim: boundsOf(cfg),
+	s := &Scheduler{cfg: cfg, discoveryAt: cfg.Discovery, log: log.With("name", cfg.Name), book: newBook(),
+		lim:  boundsOf(cfg),
 		term: make(chan struct{}), started: make(chan net.Addr, 1)}
 	var known List
 	if cfg.Known != nil {
@@ -193,8 +196,8 @@
 	return err
 }
 
-// stop carries Term out: clients are served for as long as there is time, then idle connections close, and the
-// loop ends once all that came has its answer.
+// stop carries Term out: clients are served for as long as there is time, then idle connections close, and
+// the loop ends once all that came has its answer.
 func (s *Scheduler) stop(ctx context.Context, ln net.Listener) {
 	wait := func(d time.Duration) bool {
 		select {
@@ -222,15 +225,22 @@
 
 // tell logs what happened at an interval.
 func (s *Scheduler) tell(ctx context.Context) {
-	tick := time.NewTicker(tellEvery)
+	every(ctx, tellEvery, func() {
+		s.log.Info("state", "all", s.state())
+		s.core.Beliefs(s.compare)
+	})
+}
+
+// every calls do at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			s.log.Info("state", "all", s.state())
-			s.core.Beliefs(s.compare)
+			do()
 		}
 	}
 }
@@ -243,7 +253,8 @@
 	var rows []any
 	for _, b := range beliefs {
 		rows = append(rows, slog.String(s.book.name(b.Server), fmt.Sprintf(
-			"%v out=%d work=%d used=%.0f depth=%.1f latency=%v fails=%d", b.Status, b.Out, work[b.Server], b.Used,
+			"%v out=%d work=%d used=%.0f depth=%.1f latency=%v fails=%d", b.Status, b.Out, work[b.Server],
+			b.Used,
 			b.Depth, b.Latency.Round(100*time.Microsecond), b.Fails)))
 	}
 	s.log.Info("nodes", slog.Group("believed", rows...))
@@ -261,10 +272,12 @@
 	n.mu.Unlock()
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
-	return slog.GroupValue(slog.Any("counters", &s.core.Stats), slog.Int("silent", silent), slog.Int("saying", saying), slog.Int("idle", idling), slog.Int("work", work),
+	return slog.GroupValue(slog.Any("counters", &s.core.Stats), slog.Int("silent", silent),
+		slog.Int("saying", saying), slog.Int("idle", idling), slog.Int("work", work),
 		slog.Int("node_conns", held), slog.Int("node_idle", idle),
 		slog.Uint64("accepted", f.counts.accepted.Load()), slog.Uint64("turned", f.counts.turned.Load()),
-		slog.Uint64("never_said", f.counts.silent.Load()), slog.Uint64("evicted", f.counts.evicted.Load()), slog.Uint64("malformed", f.counts.malformed.Load()),
+		slog.Uint64("never_said", f.counts.silent.Load()), slog.Uint64("evicted", f.counts.evicted.Load()),
+		slog.Uint64("malformed", f.counts.malformed.Load()),
 		slog.Uint64("doubled", f.counts.doubled.Load()), slog.Uint64("crowded", f.counts.crowded.Load()),
 		slog.Uint64("dialed", n.counts.dialed.Load()), slog.Uint64("reused", n.counts.reused.Load()),
 		slog.Uint64("stale", n.counts.stale.Load()), slog.Uint64("spoilt", n.counts.spoilt.Load()),
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -33,11 +33,13 @@
 	if status, _, got := c.answer(); status != 200 || got != answer {
 		t.Fatalf("write: %d %q", status, got)
 	}
-	for i, want := range []struct{ method, body, id, key string }{{"GET", "", "a1", ""}, {"PUT", body, "a2", "k"}} {
+	for i, want := range []struct{ method, body, id, key string }{{"GET", "", "a1", ""}, {"PUT", body, "a2",
+		"k"}} {
 		g := d.seen()[i]
 		id, _ := g.req.Header.Get("X-Call-Id")
 		key, _ := g.req.Header.Get("Idempotency-Key")
-		if g.req.Method != want.method || g.req.Target != "/api?extent=7f3a9c21e0b4d655" || string(g.body) != want.body ||
+		if g.req.Method != want.method || g.req.Target != "/api?extent=7f3a9c21e0b4d655" ||
+			string(g.body) != want.body ||
 			id != want.id || key != want.key {
 			t.Errorf("request %d came as %+v with %d bytes", i, g.req, len(g.body))
 		}
@@ -59,19 +61,26 @@
 		status int
 		sends  int
 	}{
-		"read turned away":       {http1.AppendResponse(nil, 503, "x", http1.Header{{Name: "X-Rejected", Value: "1"}}, nil), "read", 200, 2},
-		"pay turned away":        {http1.AppendResponse(nil, 504, "x", http1.Header{{Name: "X-Rejected", Value: "1"}}, nil), "pay", 200, 2},
-		"503 without the mark":   {http1.AppendResponse(nil, 503, "x", nil, nil), "pay", 502, 1},
-		"read broken":            {nil, "read", 200, 2},
-		"keyed write broken":     {nil, "write", 200, 2},
-		"unsafe broken":          {nil, "pay", 502, 1},
-		"unsafe error":           {http1.AppendResponse(nil, 500, "x", nil, nil), "pay", 502, 1},
-		"read spoilt":            {[]byte("\x00\x01 noise"), "read", 200, 2},
-		"unsafe spoilt":          {[]byte("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("a", 9000)), "pay", 502, 1},
-		"unsafe, two framings":   {[]byte("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\naa"), "pay", 502, 1},
-		"unreadable figures":     {http1.AppendResponse(nil, 200, "x", http1.Header{{Name: "X-Meter", Value: "-7z"}, {Name: "X-Delta", Value: "1e99"}}, []byte("ok")), "pay", 200, 1},
-		"interim answers ahead":  {append([]byte("HTTP/1.1 102 x\r\n\r\n"), ok("ok")...), "pay", 200, 1},
-		"chunked, then unsafe":   {[]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), "pay", 200, 1},
+		"read turned away": {http1.AppendResponse(nil, 503, "x",
+			http1.Header{{Name: "X-Rejected", Value: "1"}}, nil), "read", 200, 2},
+		"pay turned away": {http1.AppendResponse(nil, 504, "x",
+			http1.Header{{Name: "X-Rejected", Value: "1"}}, nil), "pay", 200, 2},
+		"503 without the mark": {http1.AppendResponse(nil, 503, "x", nil, nil), "pay", 502, 1},
+		"read broken":          {nil, "read", 200, 2},
+		"keyed write broken":   {nil, "write", 200, 2},
+		"unsafe broken":        {nil, "pay", 502, 1},
+		"unsafe error":         {http1.AppendResponse(nil, 500, "x", nil, nil), "pay", 502, 1},
+		"read spoilt":          {[]byte("\x00\x01 noise"), "read", 200, 2},
+		"unsafe spoilt": {[]byte("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" +
+			strings.Repeat("a", 9000)), "pay", 502, 1},
+		"unsafe, two framings": {[]byte("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n" +
+			"\r\naa"), "pay", 502, 1},
+		"unreadable figures": {http1.AppendResponse(nil, 200, "x",
+			http1.Header{{Name: "X-Meter", Value: "-7z"}, {Name: "X-Delta", Value: "1e99"}}, []byte("ok")),
+			"pay", 200, 1},
+		"interim answers ahead": {append([]byte("HTTP/1.1 102 x\r\n\r\n"), ok("ok")...), "pay", 200, 1},
+		"chunked, then unsafe": {[]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n" +
+			"ok\r\n0\r\n\r\n"), "pay", 200, 1},
 		"not known, for nothing": {http1.AppendResponse(nil, 404, "x", nil, nil), "pay", 502, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -92,7 +101,8 @@
 			cl.send(ask(method, c.class, "a1", 0, "", more...))
 			status, _, body := cl.answer()
 			if status != c.status || (status == 200 && body != "ok") || len(d.seen()) != c.sends {
-				t.Errorf("%d %q after %d sends; want %d after %d", status, body, len(d.seen()), c.status, c.sends)
+				t.Errorf("%d %q after %d sends; want %d after %d", status, body, len(d.seen()), c.status,
+					c.sends)
 			}
 		})
 	}
@@ -121,7 +131,8 @@
 	}
 }
 
-// A disk server of another shard is never sent the request, and one that cannot be reached counts as never run.
+// A disk server of another shard is never sent the request, and one that cannot be reached counts as never
+// run.
 func TestOutOfReach(t *testing.T) {
 	d := newDisk(t, func(int, *got) []byte { return ok("ok") })
 	r := start(t, 256, d)
@@ -237,21 +248,26 @@
 		"budget nought":       {strings.Replace(good, "1.500", "0.0", 1), 400},
 		"budget hex":          {strings.Replace(good, "1.500", "0x1p3", 1), 400},
 		"no id":               {strings.Replace(good, "X-Call-Id: a1\r\n", "", 1), 400},
-		"two ids":             {strings.Replace(good, "X-Call-Id: a1\r\n", "X-Call-Id: a1\r\nX-Call-Id: a2\r\n", 1), 400},
-		"extent short":        {strings.Replace(good, "7f3a9c21e0b4d655", "7f", 1), 400},
-		"extent twice":        {strings.Replace(good, "d655 ", "d655&extent=7f3a9c21e0b4d655 ", 1), 400},
-		"units none":          {strings.Replace(good, "units=2", "units=0", 1), 400},
-		"units too many":      {strings.Replace(good, "units=2", "units=7", 1), 400},
-		"shard not there":     {strings.Replace(good, "shard=0", "shard=2", 1), 400},
-		"hosts too many":      {strings.Replace(good, "hosts=1", "hosts=99", 1), 400},
-		"volume twice":        {strings.Replace(good, "units=2", "units=2,units=2", 1), 400},
-		"no volume":           {strings.Replace(good, "volume=00000003b4d60021,", "", 1), 400},
-		"keyed without key":   {ask("PUT", "write", "a1", 0, "x"), 400},
-		"POST":                {strings.Replace(good, "GET", "POST", 1), 405},
-		"GET with a body":     {strings.Replace(good, "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nhello", 1), 400},
-		"body too long":       {strings.Replace(ask("PUT", "pay", "a1", 0, ""), "Length: 0", "Length: 60000000", 1), 413},
-		"hidden request":      {strings.Replace(ask("PUT", "pay", "a1", 0, ""), "Length: 0", "Length: 4\r\nTransfer-Encoding: chunked", 1) + "0\r\n\r\n" + good, 400},
-		"head without end":    {"GET /api HTTP/1.1\r\n" + strings.Repeat("X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", 300), 431},
+		"two ids": {strings.Replace(good, "X-Call-Id: a1\r\n",
+			"X-Call-Id: a1\r\nX-Call-Id: a2\r\n", 1), 400},
+		"extent short":      {strings.Replace(good, "7f3a9c21e0b4d655", "7f", 1), 400},
+		"extent twice":      {strings.Replace(good, "d655 ", "d655&extent=7f3a9c21e0b4d655 ", 1), 400},
+		"units none":        {strings.Replace(good, "units=2", "units=0", 1), 400},
+		"units too many":    {strings.Replace(good, "units=2", "units=7", 1), 400},
+		"shard not there":   {strings.Replace(good, "shard=0", "shard=2", 1), 400},
+		"hosts too many":    {strings.Replace(good, "hosts=1", "hosts=99", 1), 400},
+		"volume twice":      {strings.Replace(good, "units=2", "units=2,units=2", 1), 400},
+		"no volume":         {strings.Replace(good, "volume=00000003b4d60021,", "", 1), 400},
+		"keyed without key": {ask("PUT", "write", "a1", 0, "x"), 400},
+		"POST":              {strings.Replace(good, "GET", "POST", 1), 405},
+		"GET with a body": {strings.Replace(good, "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nhello", 1),
+			400},
+		"body too long": {strings.Replace(ask("PUT", "pay", "a1", 0, ""), "Length: 0",
+			"Length: 60000000", 1), 413},
+		"hidden request": {strings.Replace(ask("PUT", "pay", "a1", 0, ""), "Length: 0",
+			"Length: 4\r\nTransfer-Encoding: chunked", 1) + "0\r\n\r\n" + good, 400},
+		"head without end": {"GET /api HTTP/1.1\r\n" +
+			strings.Repeat("X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", 300), 431},
 	} {
 		cl := r.dial()
 		cl.send(c.text)
@@ -298,7 +314,8 @@
 		return ok(id)
 	})
 	c := start(t, 256, d).dial()
-	c.send(ask("GET", "read", "a1", 0, "") + ask("PUT", "pay", "a2", 0, "xyz") + ask("GET", "read", "a3", 0, ""))
+	c.send(ask("GET", "read", "a1", 0, "") + ask("PUT", "pay", "a2", 0, "xyz") + ask("GET", "read", "a3", 0,
+		""))
 	for _, id := range []string{"a1", "a2", "a3"} {
 		if status, _, body := c.answer(); status != 200 || body != id {
 			t.Fatalf("%s got %d %q", id, status, body)
@@ -324,8 +341,8 @@
 	})
 }
 
-// Hundreds that connect and say nothing, and clients that ask once and keep their connections for good, hold up
-// nobody, and all is given back.
+// Hundreds that connect and say nothing, and clients that ask once and keep their connections for good,
+// hold up nobody, and all is given back.
 func TestCrowd(t *testing.T) {
 	d := newDisk(t, func(int, *got) []byte { return ok("ok") })
 	r := start(t, 64, d)
@@ -347,8 +364,16 @@
 			time.Sleep(idleAtLeast + 50*time.Millisecond)
 		}
 	}
-	eventually(t, "those that idle are closed", func() bool { _, _, idle, _ := r.s.front.crowd(); return idle == 0 })
-	eventually(t, "the silent are closed", func() bool { silent, _, _, _ := r.s.front.crowd(); return silent == 0 })
+	eventually(t, "those that idle are closed", func() bool {
+		_, _, idle,
+			_ := r.s.front.crowd()
+		return idle == 0
+	})
+	eventually(t, "the silent are closed", func() bool {
+		silent, _, _,
+			_ := r.s.front.crowd()
+		return silent == 0
+	})
 }
 
 // Ever new clients, ids and disk servers leave nothing behind.
@@ -365,7 +390,11 @@
 		c.conn.Close()
 	}
 	ask1(-1)
-	eventually(t, "the first has gone", func() bool { _, _, idle, work := r.s.front.crowd(); return idle+work == 0 })
+	eventually(t, "the first has gone", func() bool {
+		_, _, idle,
+			work := r.s.front.crowd()
+		return idle+work == 0
+	})
 	before := runtime.NumGoroutine()
 	for i := range 1000 {
 		ask1(i)
@@ -409,7 +438,8 @@
 		t.Errorf("%d pages, %v", len(b.pages), err)
 	}
 	for _, bad := range []Listed{{}, {ID: "a", Lifecycle: "odd"}, {ID: "a", Lifecycle: "ready"},
-		{ID: "a", HostPort: "b", Lifecycle: "ready", Cell: 1 << 16}, {ID: "a", HostPort: "b", Lifecycle: "ready", Started: -1}} {
+		{ID: "a", HostPort: "b", Lifecycle: "ready", Cell: 1 << 16}, {ID: "a", HostPort: "b",
+			Lifecycle: "ready", Started: -1}} {
 		if _, err := b.news(List{Instances: []Listed{bad}}, 0, &site); err == nil {
 			t.Errorf("%+v was taken", bad)
 		}
--- a/internal/platform/quiet.go
+++ b/internal/platform/quiet.go
@@ -6,7 +6,8 @@
 	"syscall"
 )
 
-// quiet tells whether a connection is open and nothing has come on it that was not read. It takes nothing off.
+// quiet tells whether a connection is open and nothing has come on it that was not read. It takes nothing
+// off.
 func quiet(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -210,11 +210,13 @@
 }
 
 func listed(id string, d *disk, cell int) Listed {
-	return Listed{ID: id, HostPort: d.ln.Addr().String(), Zone: "a", Kind: "m", Cell: cell, Lifecycle: "ready", Weight: 1}
+	return Listed{ID: id, HostPort: d.ln.Addr().String(), Zone: "a", Kind: "m", Cell: cell,
+		Lifecycle: "ready", Weight: 1}
 }
 
 func configDoc(discovery string, known *List, sockets int) []byte {
-	doc, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1f",
+	doc, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+		"seed":   "1f",
 		"limits": Limits{Cores: 1, MemoryMB: 64, Sockets: sockets}, "known": known,
 		"settings": json.RawMessage(testSettings)})
 	if err != nil {
@@ -236,7 +238,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if r.s, err = New(cfg, slog.New(slog.NewTextHandler(r.log, &slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
+	if r.s, err = New(cfg, slog.New(slog.NewTextHandler(r.log,
+		&slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/sched/edges_test.go
+++ b/internal/sched/edges_test.go
@@ -26,8 +26,8 @@
 func (e *noEdges) FetchWhole()                           {}
 func (e *noEdges) Answer(a proto.Answer, payload []byte) { e.got = append(e.got, a) }
 
-// A loop that had no turn for long finds an attempt's end and the net under the module due at once: the module,
-// told of the end, must have its word before the net answers in its place.
+// A loop that had no turn for long finds an attempt's end and the net under the module due at once: the
+// module, told of the end, must have its word before the net answers in its place.
 func TestModuleSpeaksBeforeTheNet(t *testing.T) {
 	edges := &noEdges{}
 	server := control.Server{Addr: [4]byte{1}, Port: 1}
@@ -42,7 +42,8 @@
 	if why := c.Admit(1); why != "" {
 		t.Fatal(why)
 	}
-	l.take(&Call{Caller: edges, At: l.now, Wait: time.Second, Ask: control.Request{Units: 1, Writers: 1, Volume: 1}})
+	l.take(&Call{Caller: edges, At: l.now, Wait: time.Second, Ask: control.Request{Units: 1, Writers: 1,
+		Volume: 1}})
 	l.decide()
 	if len(edges.sent) != 1 || edges.sent[0].Server() != server || edges.sent[0].Caller() != Caller(edges) {
 		t.Fatalf("%d operations sent", len(edges.sent))
@@ -51,15 +52,18 @@
 	l.timers.run(l.now)
 	if len(edges.got) != 1 || edges.got[0].Code != proto.Failed || edges.got[0].Reason != ReasonTimeout ||
 		c.Stats.Overdue.Load() != 0 || c.Stats.TimedOut.Load() != 1 || edges.off != 1 || c.open.Load() != 0 {
-		t.Errorf("answers %+v, overdue %d, timed out %d, called off %d, open %d", edges.got, c.Stats.Overdue.Load(),
+		t.Errorf("answers %+v, overdue %d, timed out %d, called off %d, open %d", edges.got,
+			c.Stats.Overdue.Load(),
 			c.Stats.TimedOut.Load(), edges.off, c.open.Load())
 	}
-	if b := l.module.Beliefs(); len(b) != 1 || b[0].Server != server || b[0].Out != 0 || b[0].Status != control.Ready {
+	if b := l.module.Beliefs(); len(b) != 1 || b[0].Server != server || b[0].Out != 0 ||
+		b[0].Status != control.Ready {
 		t.Errorf("the module believes %+v", b)
 	}
 }
 
-// A list service that goes on as it was may tell a restarted instance just what changed since the list it kept.
+// A list service that goes on as it was may tell a restarted instance just what changed since the list it
+// kept.
 func TestKeptListOfOneService(t *testing.T) {
 	for _, one := range []bool{true, false} {
 		view := roster.New(0)
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -310,8 +310,8 @@
 // here, and logged as the fault that it is.
 func (l *loop) overdue(k *Call) {
 	if !k.done && l.fresh {
-		// A loop that had no turn for long finds the end of an attempt and this in one batch: the module, which
-		// was only just told, has its word first.
+		// A loop that had no turn for long finds the end of an attempt and this in one batch: the module,
+		// which was only just told, has its word first.
 		l.decide()
 	}
 	if k.done {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -144,8 +144,9 @@
 	site := &cfg.Site
 	i := &Instance{cfg: cfg}
 	core := CoreConfig{Seed: cfg.Seed, Tick: site.Limits.Tick, Transit: site.Limits.Transit,
-		AnswerSlack: site.Rules.AnswerSlack, ClockSkew: site.Limits.ClockSkew, Kept: cfg.Kept, Learnt: cfg.Learnt,
-		Facts: i.facts(), StopWithin: cfg.StopWithin, Log: cfg.Log.With("instance", cfg.Number),
+		AnswerSlack: site.Rules.AnswerSlack, ClockSkew: site.Limits.ClockSkew, Kept: cfg.Kept,
+		Learnt: cfg.Learnt,
+		Facts:  i.facts(), StopWithin: cfg.StopWithin, Log: cfg.Log.With("instance", cfg.Number),
 		Settings: site.Control(cfg.Number, cfg.Of, cfg.Zone, cfg.PeerListen != ""), Hooks: cfg.Hooks}
 	if site.Extents != nil {
 		plan := site.Extents.Planner()
--- a/internal/wire/nested_test.go
+++ b/internal/wire/nested_test.go
@@ -56,7 +56,8 @@
 `
 
 const nested = `{"callers":{"marks_retry":true},
-"classes":[{"deadline_ns":2500000000,"group":"all","late_worth":0.15,"name":"field-read","on_time_ns":500000000,
+"classes":[{"deadline_ns":2500000000,"group":"all","late_worth":0.15,"name":"field-read",
+ "on_time_ns":500000000,
  "repeat":"read_like","worth":2.0},
  {"deadline_ns":3000000000,"fifo_by_key":true,"group":"cell","name":"field-write","on_time_ns":600000000,
  "repeat":"idempotency_key","window_ns":5000000000,"worth":2.0}],
@@ -83,7 +84,8 @@
 		t.Fatalf("nested\n%+v\nflat\n%+v", got.Control, want)
 	}
 	if got.Classes[1] != "field-write" || got.Plans[0] != "standard" || got.Zone("hall b") != 1 ||
-		got.Zone("hall-z") != 255 || got.Shards != 9 || got.MostOpen != 333 || got.IdleClose.Seconds() != 15 ||
+		got.Zone("hall-z") != 255 || got.Shards != 9 || got.MostOpen != 333 ||
+		got.IdleClose.Seconds() != 15 ||
 		got.AnswerSlack.Milliseconds() != 8 {
 		t.Fatalf("beside the module's: %+v", got)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -238,5 +238,6 @@
 	return control.Members{Version: r.version, Form: control.ListDelta, Entries: r.tell(c, []Entry{e})}, true
 }
 
-// Continue tells that the list service goes on as it was when the list was kept: changes to that are believed.
+// Continue tells that the list service goes on as it was when the list was kept: changes to that are
+// believed.
 func (r *Roster) Continue() { r.known = true }
