--- a/internal/nodelist/nodelist_test.go
+++ b/internal/nodelist/nodelist_test.go
@@ -89,7 +89,8 @@
 	r.c.Watch(false)
 	time.Sleep(50 * time.Millisecond)
 	r.s.Put(entry(3, control.Ready))
-	for tries := 1; ; tries++ { // the service takes a change in on a queue of its own: a fetch may overtake it
+	// The service takes a change in on a queue of its own: a fetch may overtake it.
+	for tries := 1; ; tries++ {
 		r.c.Fetch()
 		n := next(t, r.news)
 		if n.Whole && len(n.Entries) == 3 {
