--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -145,6 +145,36 @@
 	}
 }
 
+// A connection that breaks before a request's last byte is written proves that it never ran: what may not be
+// repeated is sent again too.
+func TestBrokenBeforeTheLastByte(t *testing.T) {
+	for class, more := range map[string][]string{"pay": nil, "write": {"Idempotency-Key: k"}} {
+		d := newDisk(t, func(int, *got) []byte { return ok("ok") })
+		r := start(t, 256, d)
+		ours, theirs := net.Pipe()
+		n := r.s.nodes
+		n.mu.Lock()
+		n.idle[serverOf("s-0")] = []*nodeConn{{conn: ours, since: time.Now().Add(-time.Second),
+			rd: http1.NewReader(ours, http1.Limits{Head: nodeHead, Body: maxBody})}}
+		n.held++
+		n.mu.Unlock()
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			theirs.Read(make([]byte, 20))
+			theirs.Close()
+		})
+		c := r.dial()
+		c.send(ask("PUT", class, "a1", 0, "hello", more...))
+		if status, _, body := c.answer(); status != 200 || body != "ok" || len(d.seen()) != 1 {
+			t.Errorf("%s: %d %q after %d whole sends", class, status, body, len(d.seen()))
+		}
+		wg.Wait()
+		if got := r.s.core.Stats.ConnectFailed.Load(); got != 1 {
+			t.Errorf("%s: %d attempts counted as never made", class, got)
+		}
+	}
+}
+
 func TestDrainByWatch(t *testing.T) {
 	old := newDisk(t, func(int, *got) []byte { return ok("old") })
 	next := newDisk(t, func(int, *got) []byte { return ok("next") })
@@ -398,8 +428,14 @@
 			work := r.s.front.crowd()
 		return idle+work == 0
 	})
-	before := runtime.NumGoroutine()
-	for i := range 1000 {
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before, bytes := runtime.NumGoroutine(), heap()
+	for i := range 2000 {
 		ask1(i)
 		if i%100 == 0 {
 			gone := listed(fmt.Sprintf("t-%d", i), d, 1)
@@ -412,6 +448,12 @@
 		silent, saying, idle, work := r.s.front.crowd()
 		return silent+saying+idle+work == 0 && runtime.NumGoroutine() <= before+2
 	})
+	d.mu.Lock()
+	d.got = nil
+	d.mu.Unlock()
+	if after := heap(); after > bytes+(3<<20) {
+		t.Errorf("%d bytes of heap before, %d after", bytes, after)
+	}
 	r.s.front.mu.Lock()
 	defer r.s.front.mu.Unlock()
 	if len(r.s.front.open) != 0 || r.s.front.bodies.Load() != 0 {
