Twins made one: ranking clients' connections, writing an answer, ordering servers, the clock

No behaviour changed. front.makeRoom and front.closeIdle gather and rank connections by one function, three ways to write an answer are one, a message cut short is told in one place of the codec, servers are ordered by Server.Compare in control and roster, the scheduler's clock has one name; gone are a logger and an argument nobody used and an error that never came.

--- a/control/api.go
+++ b/control/api.go
@@ -2,7 +2,11 @@
 // events that a host sees and the actions that it asks for. It holds no decisions; those are in control.go.
 package control
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Server identifies a storage node's process: an IPv4 address and a port. It tells nothing else of the node.
 type Server struct {
@@ -10,6 +14,11 @@
 	Port uint16
 }
 
+// Compare orders servers by address and port.
+func (s Server) Compare(o Server) int {
+	return cmp.Or(slices.Compare(s.Addr[:], o.Addr[:]), cmp.Compare(s.Port, o.Port))
+}
+
 // Repeat says what a second run of a request of a class does.
 type Repeat uint8
 
--- a/control/belief.go
+++ b/control/belief.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -24,9 +23,6 @@
 			all = append(all, Belief{id, n.Status, len(n.out), n.used, n.depth, n.latency, n.fails})
 		}
 	}
-	slices.SortFunc(all, func(a, b Belief) int {
-		return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]), cmp.Compare(a.Server.Port,
-			b.Server.Port))
-	})
+	slices.SortFunc(all, func(a, b Belief) int { return a.Server.Compare(b.Server) })
 	return all
 }
--- a/control/control.go
+++ b/control/control.go
@@ -419,8 +419,7 @@
 		}
 	}
 	slices.SortFunc(ready, func(a, b *node) int {
-		return cmp.Or(cmp.Compare(a.Boot, b.Boot), slices.Compare(a.Server.Addr[:], b.Server.Addr[:]),
-			cmp.Compare(a.Server.Port, b.Server.Port))
+		return cmp.Or(cmp.Compare(a.Boot, b.Boot), a.Server.Compare(b.Server))
 	})
 	for _, s := range h.shards {
 		s.node = nil
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -144,6 +144,14 @@
 	return err
 }
 
+// cut is the error of a source that ends inside a message.
+func cut(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // line takes one line off, which must end in CR LF. The whole head shares a bound, counted down in left.
 func (r *Reader) line(left *int) (string, error) {
 	for seen := 0; ; {
@@ -173,10 +181,7 @@
 			return "", &Error{431, "the head is too long"}
 		}
 		if err := r.fill(); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return "", err
+			return "", cut(err)
 		}
 	}
 }
@@ -314,10 +319,7 @@
 		return body, nil
 	}
 	if _, err := io.ReadFull(r.src, body[got:]); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-		return nil, err
+		return nil, cut(err)
 	}
 	return body, nil
 }
@@ -359,8 +361,8 @@
 			return nil
 		}
 		if err := r.fill(); err != nil {
-			if errors.Is(err, io.EOF) && n > 0 {
-				err = io.ErrUnexpectedEOF
+			if n > 0 {
+				err = cut(err)
 			}
 			return err
 		}
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,7 +31,6 @@
 	core   *sched.Core
 	site   *wire.Site
 	book   *book
-	log    *slog.Logger
 	client *http.Client
 
 	mu     sync.Mutex
@@ -42,13 +40,13 @@
 	wg     sync.WaitGroup
 }
 
-func newDiscovery(ctx context.Context, core *sched.Core, site *wire.Site, addr string, book *book,
-	log *slog.Logger) *discovery {
+func newDiscovery(ctx context.Context, core *sched.Core, site *wire.Site, addr string,
+	book *book) *discovery {
 	dial := &net.Dialer{Timeout: callWithin}
 	client := &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true,
 		ResponseHeaderTimeout: callWithin, MaxResponseHeaderBytes: 16 << 10}}
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &discovery{core: core, site: site, book: book, log: log, ctx: ctx, addr: addr, client: client}
+	return &discovery{core: core, site: site, book: book, ctx: ctx, addr: addr, client: client}
 }
 
 // Watch opens the standing watch anew, or ends it.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -119,12 +119,12 @@
 }
 
 // serve accepts clients until the listener is closed.
-func (f *front) serve(ln net.Listener) error {
+func (f *front) serve(ln net.Listener) {
 	for {
 		conn, err := ln.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
-			return nil
+			return
 		case err != nil: // out of descriptors, or the client was gone already
 			f.counts.turned.Add(1)
 			f.makeRoom(true)
@@ -157,21 +157,20 @@
 	return true
 }
 
-// makeRoom closes the connection that is missed least: one that has said nothing since it was made, else one
-// that is slow to say its request, else the one that has idled for the longest. One that idles but on which a
-// request waits to be read stays.
-func (f *front) makeRoom(force bool) bool {
-	type row struct {
-		c     *clientConn
-		rank  int
-		since time.Time
-		quiet bool // must be
-	}
+// row is a connection that might be closed, as it stood when it was looked at.
+type row struct {
+	c      *clientConn
+	rank   int // lower goes before
+	since  time.Time
+	idling bool
+}
+
+// ranked gathers the connections that pick ranks: by rank, then the longest in its state first.
+func (f *front) ranked(pick func(*clientConn) (rank int, ok bool)) []row {
 	var rows []row
 	f.mu.Lock()
 	for c := range f.conns {
-		rank, after := c.missed()
-		if c.state != working && (force || time.Since(c.since) >= after) {
+		if rank, ok := pick(c); ok {
 			rows = append(rows, row{c, rank, c.since, c.state == idling})
 		}
 	}
@@ -179,8 +178,19 @@
 	slices.SortFunc(rows, func(a, b row) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since))
 	})
+	return rows
+}
+
+// makeRoom closes the connection that is missed least: one that has said nothing since it was made, else one
+// that is slow to say its request, else the one that has idled for the longest. One that idles but on which a
+// request waits to be read stays.
+func (f *front) makeRoom(force bool) bool {
+	rows := f.ranked(func(c *clientConn) (int, bool) {
+		rank, after := c.missed()
+		return rank, c.state != working && (force || time.Since(c.since) >= after)
+	})
 	for _, r := range rows {
-		if !r.quiet || quiet(r.c.conn) {
+		if !r.idling || quiet(r.c.conn) {
 			f.counts.evicted.Add(1)
 			f.leave(r.c)
 			r.c.conn.Close()
@@ -228,31 +238,15 @@
 // closeIdle closes connections without an open request that have idled for so long, as long as more than keep
 // have said something: those that asked once go first, then the longest idle.
 func (f *front) closeIdle(least time.Duration, keep int) {
-	type row struct {
-		c     *clientConn
-		again bool
-		since time.Time
-	}
-	var rows []row
 	said := 0
-	f.mu.Lock()
-	for c := range f.conns {
+	rows := f.ranked(func(c *clientConn) (rank int, ok bool) {
 		if c.asked > 0 {
 			said++
 		}
-		if c.state == idling && time.Since(c.since) >= least {
-			rows = append(rows, row{c, c.asked > 1, c.since})
+		if c.asked > 1 {
+			rank = 1
 		}
-	}
-	f.mu.Unlock()
-	slices.SortFunc(rows, func(a, b row) int {
-		if a.again != b.again {
-			if a.again {
-				return 1
-			}
-			return -1
-		}
-		return a.since.Compare(b.since)
+		return rank, c.state == idling && time.Since(c.since) >= least
 	})
 	for _, r := range rows {
 		if said <= keep {
@@ -334,9 +328,14 @@
 		status, text = 503, "starting\n"
 	}
 	h := closeHeader(nil, last)
+	return c.answer(status, h, []byte(text)) == nil && !last
+}
+
+// answer writes one answer, within bounds of time.
+func (c *clientConn) answer(status int, h http1.Header, body []byte) error {
 	c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
-	_, err := c.conn.Write(http1.AppendResponse(nil, status, http.StatusText(status), h, []byte(text)))
-	return err == nil && !last
+	_, err := c.conn.Write(http1.AppendResponse(nil, status, http.StatusText(status), h, body))
+	return err
 }
 
 func closeHeader(h http1.Header, last bool) http1.Header {
@@ -359,10 +358,7 @@
 	}
 	f.counts.malformed.Add(1)
 	f.log.Debug("request turned away", "status", e.Status, "cause", e.What)
-	c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
-	b := http1.AppendResponse(nil, e.Status, http.StatusText(e.Status), closeHeader(nil, true),
-		[]byte(e.What+"\n"))
-	if _, err := c.conn.Write(b); err != nil {
+	if c.answer(e.Status, closeHeader(nil, true), []byte(e.What+"\n")) != nil {
 		return
 	}
 	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
@@ -625,9 +621,7 @@
 	if a.Code != proto.OK {
 		h, payload = append(h, http1.Field{Name: "X-Reason", Value: a.Reason}), nil
 	}
-	b := http1.AppendResponse(nil, status, http.StatusText(status), closeHeader(h, e.close), payload)
-	e.c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
-	if _, err := e.c.conn.Write(b); err != nil || e.close {
+	if err := e.c.answer(status, closeHeader(h, e.close), payload); err != nil || e.close {
 		e.c.conn.Close()
 	}
 	f.mark(e.c, idling)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -136,7 +136,7 @@
 	c := n.take(a.op.Server())
 	if c == nil {
 		var err error
-		if c, err = n.dial(a.ctx, a.op.Server(), at.addr); err != nil {
+		if c, err = n.dial(a.ctx, at.addr); err != nil {
 			n.log.Debug("disk server out of reach", "node", at.id, "error", err)
 			return control.ConnectFailed, none, nil
 		}
@@ -283,7 +283,7 @@
 var errCrowded = errors.New("all connections that may be open are in work")
 
 // dial makes a connection, in place of the longest idle one where no more may be open.
-func (n *nodes) dial(ctx context.Context, s control.Server, addr string) (*nodeConn, error) {
+func (n *nodes) dial(ctx context.Context, addr string) (*nodeConn, error) {
 	n.mu.Lock()
 	if n.held >= n.most && !n.evict() {
 		n.mu.Unlock()
@@ -374,7 +374,7 @@
 	if !ok {
 		return control.ConnectFailed
 	}
-	c, err := n.dial(n.ctx, s, page.addr)
+	c, err := n.dial(n.ctx, page.addr)
 	if err != nil {
 		return control.ConnectFailed
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -155,7 +155,7 @@
 	defer ln.Close()
 	s.started <- ln.Addr()
 	s.mu.Lock()
-	disc := newDiscovery(ctx, s.core, &s.cfg.Site, s.discoveryAt, s.book, s.log)
+	disc := newDiscovery(ctx, s.core, &s.cfg.Site, s.discoveryAt, s.book)
 	s.disc = disc
 	s.mu.Unlock()
 	s.nodes = newNodes(ctx, s.core, s.cfg, s.book, s.log, s.lim.nodes)
@@ -173,11 +173,7 @@
 	wg.Go(func() { s.nodes.sweep(ctx) })
 	wg.Go(func() { s.tell(ctx) })
 	wg.Go(func() { s.stop(ctx, ln) })
-	wg.Go(func() {
-		if err := s.front.serve(ln); err != nil {
-			s.log.Error("no more clients", "error", err)
-		}
-	})
+	wg.Go(func() { s.front.serve(ln) })
 	s.log.Info("scheduler started", "listen", ln.Addr().String(), "discovery", s.cfg.Discovery,
 		"clients", s.lim.clients, "nodes", s.lim.nodes, "memory", s.lim.memory)
 	err = s.core.Loop(ctx, edges)
--- a/internal/sched/edges_test.go
+++ b/internal/sched/edges_test.go
@@ -37,7 +37,7 @@
 			Classes: []control.Class{{Aim: time.Second, Deadline: time.Second, Repeat: control.Unsafe}},
 			Plans:   []control.Plan{{Weight: 1}}}})
 	l := newLoop(c, Edges{Nodes: edges, List: edges})
-	l.now = c.now()
+	l.now = c.Now()
 	l.tell(l.view.Restore(c.clock(), c.cfg.Known))
 	if why := c.Admit(1); why != "" {
 		t.Fatal(why)
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	k := &stream{front: f, client: c, stream: fr.Stream, payload: fr.Payload}
-	at := f.i.now()
+	at := f.i.Now()
 	if err := fr.Decode(&k.req); err != nil {
 		return err
 	}
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -109,7 +109,7 @@
 		}
 		kept = k
 	}
-	l.now = l.c.now()
+	l.now = l.c.Now()
 	l.told = l.now
 	l.tell(l.view.Restore(l.c.clock(), kept))
 	if l.c.cfg.OneList {
@@ -129,7 +129,7 @@
 			return nil
 		}
 		if at, ok := l.timers.next(); ok {
-			timer.Reset(max(0, at-l.c.now()))
+			timer.Reset(max(0, at-l.c.Now()))
 		} else {
 			timer.Reset(time.Hour)
 		}
@@ -146,7 +146,7 @@
 		case <-l.c.in.wake:
 		case <-timer.C:
 		}
-		if wait := l.last + l.c.cfg.Tick - l.c.now(); wait > 0 {
+		if wait := l.last + l.c.cfg.Tick - l.c.Now(); wait > 0 {
 			time.Sleep(wait)
 		}
 		if l.c.cfg.Hooks.Gate != nil {
@@ -159,7 +159,7 @@
 // batch hands all that has happened to the module and carries out what it asks for. Answers go before
 // time-outs that are due in the same batch: what was served was served.
 func (l *loop) batch() {
-	l.now = l.c.now()
+	l.now = l.c.Now()
 	items := l.c.in.take(l.spare)
 	for _, item := range items {
 		l.item(item)
@@ -179,7 +179,7 @@
 		l.told = l.now
 		l.c.log.Info("counters", "all", &l.c.Stats)
 	}
-	l.last = l.c.now()
+	l.last = l.c.Now()
 }
 
 func (l *loop) tell(ev control.Event) {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -158,7 +158,7 @@
 	}
 	c.mu.Unlock()
 	if !ended {
-		req, payload, copied := op.frame(p.i.now())
+		req, payload, copied := op.frame(p.i.Now())
 		p.i.Stats.Copied.Add(uint64(copied))
 		err := c.conn.Post(proto.TypeRequest, stream, req, payload)
 		if err == nil {
@@ -281,7 +281,7 @@
 
 // Probe asks a node on a connection of its own whether it lives.
 func (p *pool) Probe(s control.Server) {
-	at := p.i.now()
+	at := p.i.Now()
 	p.g.Go(func() error {
 		code := control.ConnectFailed
 		var load []float64
@@ -303,7 +303,7 @@
 			})
 		}
 		if p.ctx.Err() == nil {
-			p.i.in.put(control.Probed{Server: s, Code: code, Took: p.i.now() - at, Load: load})
+			p.i.in.put(control.Probed{Server: s, Code: code, Took: p.i.Now() - at, Load: load})
 		}
 		return nil
 	})
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -118,7 +118,7 @@
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
 // Now is the module's clock.
-func (c *Core) Now() time.Duration { return c.now() }
+func (c *Core) Now() time.Duration { return epoch + time.Since(c.start) }
 
 // Held is the version of the list that is held; 0: none was heard in this life.
 func (c *Core) Held() (epoch, version uint64) {
@@ -185,10 +185,8 @@
 	return i.link.Addr()
 }
 
-func (c *Core) now() time.Duration { return epoch + time.Since(c.start) }
-
 func (c *Core) clock() roster.Clock {
-	return roster.Clock{Now: c.now(), Wall: time.Now().UnixNano()}
+	return roster.Clock{Now: c.Now(), Wall: time.Now().UnixNano()}
 }
 
 // Stop ends the scheduler in order: it takes nothing new, answers all that it holds, then Run returns.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,7 +9,6 @@
 package roster
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -155,10 +154,7 @@
 }
 
 // ByServer orders entries by address and port.
-func ByServer(a, b Entry) int {
-	return cmp.Or(slices.Compare(a.Server.Addr[:], b.Server.Addr[:]), cmp.Compare(a.Server.Port,
-		b.Server.Port))
-}
+func ByServer(a, b Entry) int { return a.Server.Compare(b.Server) }
 
 // tell turns entries into the module's form.
 func (r *Roster) tell(c Clock, entries []Entry) []control.Entry {
