Attempts are checked once more right before their first byte

At fault: attempt.try looked the time and its own end up after dialling, but not the client, the drain or the process; control.Left ends a request and leaves its attempt out. Now Core.Stands is asked between connection and first byte: client gone or time over is moot, a node that drains, is gone or was started anew since the decision counts as not connected. The connection idles on instead of being closed.

A connection that brought an answer less than 10 ms ago was used again where no other idled; a second answer that comes some milliseconds late would be taken for the next. Now it is not.

--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -38,6 +38,8 @@
 	log  *slog.Logger
 	most int // connections at once
 
+	connect func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	mu   sync.Mutex
 	idle map[control.Server][]*nodeConn // longest idle first
 	held int                            // connections open or being made
@@ -52,7 +54,8 @@
 type nodeConn struct {
 	conn  net.Conn
 	rd    *http1.Reader
-	since time.Time // idle from then on
+	since time.Time // idle from then on in the eyes of its disk server
+	fresh bool      // it has brought no answer yet
 }
 
 // attempt is one operation on its way: the Edge of it.
@@ -71,7 +74,8 @@
 func newNodes(ctx context.Context, core *sched.Core, cfg *Config, book *book, log *slog.Logger,
 	most int) *nodes {
 	return &nodes{ctx: ctx, core: core, cfg: cfg, book: book, log: log, most: most,
-		idle: map[control.Server][]*nodeConn{}, work: map[control.Server]int{}}
+		connect: (&net.Dialer{}).DialContext, idle: map[control.Server][]*nodeConn{},
+		work: map[control.Server]int{}}
 }
 
 // Send starts an attempt.
@@ -141,15 +145,11 @@
 			return control.ConnectFailed, none, nil
 		}
 	}
-	a.mu.Lock()
-	a.conn = c.conn
-	over := a.over
-	a.mu.Unlock()
-	left := a.op.Deadline() - n.core.Now()
-	if over || left <= 0 {
-		n.drop(c)
-		return control.Moot, none, nil // nothing was written
+	if code := a.begin(c); code != control.OK {
+		n.rest(a.op.Server(), c) // nothing was written: it serves the next
+		return code, none, nil
 	}
+	left := a.op.Deadline() - n.core.Now()
 	h := append(http1.Header{{Name: "Host", Value: at.addr},
 		{Name: fieldBudget, Value: strconv.FormatFloat(left.Seconds(), 'f', 4, 64)}}, a.e.pass...)
 	b := http1.AppendRequest(nil, a.e.method, a.e.target, h, a.e.body)
@@ -179,6 +179,21 @@
 	return outcome(p)
 }
 
+// begin ties an attempt to its connection, unless what it rested on no longer holds: finding a connection may
+// have taken long. It is the one check before the first byte.
+func (a *attempt) begin(c *nodeConn) control.Code {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.over {
+		return control.Moot
+	}
+	code := a.n.core.Stands(a.op)
+	if code == control.OK {
+		a.conn = c.conn
+	}
+	return code
+}
+
 // outcome reads an answer by the protocol's table.
 func outcome(p *http1.Response) (control.Code, proto.Answer, []byte) {
 	a := proto.Answer{}
@@ -211,22 +226,22 @@
 	return uint32(v + 0.5), true
 }
 
-// take finds an idle connection on which nothing came unasked: the last one used of those that have settled,
-// else the one that idles for the longest.
+// take finds an idle connection on which nothing came unasked: the last one used of those that have settled.
+// One that has not may still bring what belongs to nobody, which would be taken for the next answer.
 func (n *nodes) take(s control.Server) *nodeConn {
 	for {
 		n.mu.Lock()
 		row := n.idle[s]
-		if len(row) == 0 {
-			n.mu.Unlock()
-			return nil
-		}
-		at := 0
+		at := -1
 		for i, c := range row {
-			if time.Since(c.since) >= settled {
+			if c.fresh || time.Since(c.since) >= settled {
 				at = i
 			}
 		}
+		if at < 0 {
+			n.mu.Unlock()
+			return nil
+		}
 		c := row[at]
 		n.keep(s, slices.Delete(row, at, at+1))
 		n.mu.Unlock()
@@ -260,14 +275,23 @@
 	over := a.over
 	a.conn = nil
 	a.mu.Unlock()
-	if over || n.ctx.Err() != nil {
+	if over {
+		n.drop(c)
+		return
+	}
+	c.since, c.fresh = time.Now(), false
+	n.rest(a.op.Server(), c)
+}
+
+// rest lets a connection idle until the next attempt. One that was not written to has idled for longer in
+// the eyes of its disk server, so its time runs on.
+func (n *nodes) rest(s control.Server, c *nodeConn) {
+	if n.ctx.Err() != nil {
 		n.drop(c)
 		return
 	}
 	c.conn.SetReadDeadline(time.Time{})
 	c.rd.Shrink()
-	c.since = time.Now()
-	s := a.op.Server()
 	n.mu.Lock()
 	n.idle[s] = append(n.idle[s], c)
 	n.mu.Unlock()
@@ -295,14 +319,15 @@
 	ctx, cancel := context.WithTimeout(ctx, n.connectTimeout())
 	defer cancel()
 	n.counts.dialed.Add(1)
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", addr)
+	conn, err := n.connect(ctx, "tcp4", addr)
 	if err != nil {
 		n.mu.Lock()
 		n.held--
 		n.mu.Unlock()
 		return nil, err
 	}
-	return &nodeConn{conn: conn, rd: http1.NewReader(conn, http1.Limits{Head: nodeHead, Body: maxBody})}, nil
+	return &nodeConn{conn: conn, since: time.Now(), fresh: true,
+		rd: http1.NewReader(conn, http1.Limits{Head: nodeHead, Body: maxBody})}, nil
 }
 
 func (n *nodes) connectTimeout() time.Duration {
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -330,3 +330,12 @@
 	}
 	return b + "\r\n" + body
 }
+
+// replaceOnce changes what stands once in a text.
+func replaceOnce(t *testing.T, text, from, to string) string {
+	t.Helper()
+	if strings.Count(text, from) != 1 {
+		t.Fatalf("%q does not stand once in %q", from, text)
+	}
+	return strings.Replace(text, from, to, 1)
+}
--- a/internal/sched/edges.go
+++ b/internal/sched/edges.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"sync/atomic"
 	"time"
 
 	"landingpaddle/control"
@@ -59,7 +60,8 @@
 	id      uint64     // of a ranged request, by which the planner knows it; 0: another
 	reqs    []*request // one, or those of its pieces
 	overdue *timer
-	done    bool // has its answer
+	done    bool        // has its answer
+	over    atomic.Bool // has it, or its client is gone: no attempt may begin any more
 }
 
 // Admit counts one more call as open, unless the scheduler stops or most are open: then it returns the
@@ -83,7 +85,10 @@
 func (c *Core) Take(k *Call) { c.in.put(k) }
 
 // Left tells that a call's client is gone or wants no answer any more.
-func (c *Core) Left(k *Call) { c.in.put(departed{k}) }
+func (c *Core) Left(k *Call) {
+	k.over.Store(true) // at once: the loop may be a batch away, and an attempt about to begin
+	c.in.put(departed{k})
+}
 
 // Ended tells how an operation ended.
 func (c *Core) Ended(op *Operation, code control.Code, a proto.Answer, payload []byte) {
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -53,6 +53,7 @@
 	op       *Operation
 	n        int
 	server   control.Server
+	boot     time.Duration // of the process that it was decided to send to
 	at       time.Duration
 	deadline time.Duration
 	over     bool
@@ -111,7 +112,7 @@
 	}
 	l.now = l.c.Now()
 	l.told = l.now
-	l.tell(l.view.Restore(l.c.clock(), kept))
+	l.members(l.view.Restore(l.c.clock(), kept))
 	if l.c.cfg.OneList {
 		l.view.Continue()
 		l.holds()
@@ -187,6 +188,12 @@
 	l.host.Handle(l.now, ev)
 }
 
+// members tells the module, and whoever is about to write a first byte, of the nodes.
+func (l *loop) members(m control.Members) {
+	l.c.standings.told(m)
+	l.tell(m)
+}
+
 func (l *loop) decide() {
 	l.fresh = false
 	l.c.Stats.Batches.Add(1)
@@ -214,16 +221,16 @@
 		l.news(x)
 	case listFailed:
 		l.c.log.Warn("list call failed", "error", x.err)
-		l.tell(control.Members{Form: control.ListFailed})
+		l.members(control.Members{Form: control.ListFailed})
 	case notice:
 		if m, ok := l.view.Notice(l.c.clock(), x.server, x.boot); ok {
 			l.c.log.Info("node drains", "node", l.c.cfg.Name(x.server), "told by", "node")
-			l.tell(m)
+			l.members(m)
 		}
 	case greeted:
 		if m, ok := l.view.Greeted(l.c.clock(), x.server, x.boot); ok {
 			l.c.log.Info("node restarted", "node", l.c.cfg.Name(x.server), "told by", "node")
-			l.tell(m)
+			l.members(m)
 		}
 	case control.Peer:
 		l.tell(x)
@@ -242,7 +249,7 @@
 		l.c.held.Store(&[2]uint64{})
 		l.edges.List.FetchWhole()
 	case roster.Believed:
-		l.tell(m)
+		l.members(m)
 		if m.Form == control.ListFull { // the first whole list of a life ends what is taken over
 			l.recall(l.view.Keep().Entries)
 			l.before = nil
@@ -373,6 +380,7 @@
 		return
 	}
 	k.done = true
+	k.over.Store(true)
 	l.timers.cancel(k.overdue)
 	switch a.Code {
 	case proto.OK:
@@ -588,7 +596,8 @@
 	if r == nil {
 		return
 	}
-	a := &attempt{req: r, n: r.sends, server: x.Server, at: l.now, deadline: r.expires}
+	a := &attempt{req: r, n: r.sends, server: x.Server, boot: l.c.standings.of(x.Server).boot, at: l.now,
+		deadline: r.expires}
 	r.sends++
 	r.server = x.Server
 	r.out = append(r.out, a)
@@ -623,7 +632,7 @@
 }
 
 // live is what of an operation is still to be sent: nothing is sent for a request that has its end or whose
-// time is up. Where members have dropped out, the others may not touch any more, so each goes alone. Of
+// time is up, nor to a node that drains or was restarted since. Where members have dropped out, the others may not touch any more, so each goes alone. Of
 // several of one ordered key only the first may: the others go back to the module as not sent. (Sent side by
 // side, they were carried out in any order.)
 func (l *loop) live(op *Operation) []*Operation {
@@ -634,6 +643,8 @@
 		case a.req.done || a.deadline <= l.now:
 			l.c.Stats.Moot.Add(1)
 			l.c.in.put(result{op: alone(a), code: control.Moot})
+		case !l.c.standings.ready(a):
+			l.c.in.put(result{op: alone(a), code: control.ConnectFailed})
 		default:
 			keep = append(keep, a)
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -84,17 +84,18 @@
 
 // Core is one scheduler without its edges: the decision module, the loop that owns it and what leads there.
 type Core struct {
-	cfg     CoreConfig
-	log     *slog.Logger
-	start   time.Time
-	in      *inbox
-	kept    chan roster.Kept
-	held    atomic.Pointer[[2]uint64] // epoch and version of the list held
-	open    atomic.Int64              // calls admitted and not answered
-	ready   chan struct{}
-	stop    chan struct{}
-	stopped sync.Once
-	Stats   Stats
+	cfg       CoreConfig
+	log       *slog.Logger
+	start     time.Time
+	in        *inbox
+	kept      chan roster.Kept
+	held      atomic.Pointer[[2]uint64] // epoch and version of the list held
+	open      atomic.Int64              // calls admitted and not answered
+	standings standings
+	ready     chan struct{}
+	stop      chan struct{}
+	stopped   sync.Once
+	Stats     Stats
 }
 
 // NewCore prepares a scheduler; Loop makes it work.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -764,9 +764,19 @@
 	server, _ := nodelist.ServerOf(n.ln.Addr().(*net.TCPAddr).AddrPort())
 	s := &script{server: server, seen: make(chan control.Event, 64)}
 	r.start(func(cfg *Config) { cfg.Hooks.Decider = func(control.Settings, Decider) Decider { return s } })
+	got := map[string]int{}
+	for got["list"] < 1 { // a node that no list names is not sent to
+		select {
+		case ev := <-s.seen:
+			if x, ok := ev.(control.Members); ok && x.Form != control.ListCached {
+				got["list"]++
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no list came")
+		}
+	}
 	c := r.client()
 	id := c.ask(nil)
-	got := map[string]int{}
 	for got["probed 100 [7]"] < 1 || got["outcome 306"] < 1 || got["list"] < 2 { // pushed, and fetched
 		select {
 		case ev := <-s.seen:
