One way to close a client's connection; a client's going away is seen behind what it wrote

At fault: closeIdle, makeRoom and bye looked at the socket and closed it from another goroutine, while the session could have read the request's first bytes into its own buffer after the look; exchange.write closed directly behind the last answer, over what had come meanwhile, which resets the connection.

Now the session alone reads, shuts and closes its connection; others ask (evict), by a flag and a deadline. What came before the sending side is shut is served, or refused at a stop, and its answer is the last; what comes after is read off within bounds and never sent on. While a request is in work the session reads ahead, up to 128 KiB and the bound of bodies. An answer says that it is the last only if nothing of a next request has come. Lingering connections have a part of the clients' descriptors. /healthz says 503 once nothing is taken any more.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -91,6 +91,7 @@
 	lim     Limits
 	buf     []byte
 	at, end int
+	reads   int
 }
 
 const firstBuffer = 1024
@@ -101,6 +102,19 @@
 // Buffered is how many bytes have been read and belong to no message yet.
 func (r *Reader) Buffered() int { return r.end - r.at }
 
+// Size is how many bytes the buffer takes.
+func (r *Reader) Size() int { return len(r.buf) }
+
+// Reads is how often the source was read: a message that was taken without a read had come whole before.
+func (r *Reader) Reads() int { return r.reads }
+
+// ErrFull is Ahead's error where as many bytes are buffered as may be.
+var ErrFull = errors.New("as many bytes are buffered as may be")
+
+// Ahead blocks until more has come than what is buffered, which may be up to most bytes. An error of the
+// source tells of its end while messages that came before it are still in the buffer.
+func (r *Reader) Ahead(most int) error { return r.more(max(most, r.lim.Head), ErrFull) }
+
 // Shrink gives the buffer back while nothing is in it, as a connection that idles needs none.
 func (r *Reader) Shrink() {
 	if r.at == r.end {
@@ -117,7 +131,10 @@
 }
 
 // fill reads more, growing the buffer up to the bound of a head.
-func (r *Reader) fill() error {
+func (r *Reader) fill() error { return r.more(r.lim.Head, &Error{431, "the head is too long"}) }
+
+// more reads more, growing the buffer up to most bytes; full is the error where it holds them.
+func (r *Reader) more(most int, full error) error {
 	if r.at == r.end {
 		r.at, r.end = 0, 0
 	}
@@ -125,15 +142,16 @@
 		switch {
 		case r.at > 0:
 			r.end, r.at = copy(r.buf, r.buf[r.at:r.end]), 0
-		case len(r.buf) >= r.lim.Head:
-			return &Error{431, "the head is too long"}
+		case len(r.buf) >= most:
+			return full
 		default:
-			grown := make([]byte, min(max(firstBuffer, 2*len(r.buf)), r.lim.Head))
+			grown := make([]byte, min(max(firstBuffer, 2*len(r.buf)), most))
 			copy(grown, r.buf[:r.end])
 			r.buf = grown
 		}
 	}
 	n, err := r.src.Read(r.buf[r.end:])
+	r.reads++
 	r.end += n
 	if n > 0 {
 		return nil
@@ -318,6 +336,7 @@
 	if got == len(body) {
 		return body, nil
 	}
+	r.reads++
 	if _, err := io.ReadFull(r.src, body[got:]); err != nil {
 		return nil, cut(err)
 	}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -217,3 +217,45 @@
 		}
 	})
 }
+
+// What comes ahead of its turn is kept within a bound that is not a head's, and the source's end is told
+// while messages are still in the buffer.
+func TestAhead(t *testing.T) {
+	one := "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+	many := strings.Repeat(one, 300) // 8,100 bytes, over the bound of a head
+	r := NewReader(strings.NewReader(many), lim)
+	if err := r.Ahead(100); err != nil || r.Buffered() == 0 {
+		t.Fatalf("%d bytes, %v", r.Buffered(), err)
+	}
+	for r.Buffered() < len(many) {
+		if err := r.Ahead(len(many)); err != nil {
+			t.Fatalf("after %d bytes: %v", r.Buffered(), err)
+		}
+	}
+	if err := r.Ahead(len(many)); !errors.Is(err, ErrFull) {
+		t.Fatalf("beyond the bound: %v", err)
+	}
+	if err := r.Ahead(2 * len(many)); !errors.Is(err, io.EOF) || r.Buffered() != len(many) {
+		t.Fatalf("at the end: %v with %d bytes", err, r.Buffered())
+	}
+	reads := r.Reads()
+	for n := range 300 {
+		if q, err := r.Request(); err != nil || q.Target != "/a" {
+			t.Fatalf("request %d: %+v, %v", n, q, err)
+		}
+	}
+	if r.Reads() != reads {
+		t.Errorf("%d reads for requests that had come whole", r.Reads()-reads)
+	}
+	r.Shrink()
+	if r.Size() != 0 {
+		t.Errorf("the buffer keeps %d bytes", r.Size())
+	}
+	r = NewReader(strings.NewReader(strings.Repeat("a", 2*lim.Head)), lim)
+	for r.Ahead(2*lim.Head) == nil {
+	}
+	var e *Error
+	if _, err := r.Request(); !errors.As(err, &e) || e.Status != 431 {
+		t.Errorf("a head that is too long, read ahead: %v", err)
+	}
+}
--- a/internal/platform/crossings_nodes_test.go
+++ b/internal/platform/crossings_nodes_test.go
@@ -198,6 +198,11 @@
 	if c.since != since {
 		t.Error("a connection that was not used counts as fresh")
 	}
+	eventually(t, "the disk server has the connection", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.conns) == 1
+	})
 	d.mu.Lock()
 	for conn := range d.conns {
 		conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,7 +20,8 @@
 
 // bounds are what the machine's limits leave for each use.
 type bounds struct {
-	clients int // connections of clients,
+	clients   int // connections of clients,
+	lingering int // those that end besides,
 	// and how many of these may idle for a while: clients hold a third of the descriptors at most, and what
 	// one of them keeps for good is missing to the next request.
 	kept   int
@@ -33,6 +34,9 @@
 // spareSockets are set aside for discovery, peers, the listener, logs and the runtime.
 const spareSockets = 24
 
+// lingeringPart of the clients' connections may be such that end already.
+const lingeringPart = 16
+
 // boundsOf divides the machine. Clients get more connections than the usual ones need, as some hold theirs
 // for nothing.
 func boundsOf(c *Config) bounds {
@@ -41,6 +45,8 @@
 	b := bounds{clients: free * 60 / 100, kept: c.Limits.Sockets / 4, bodies: memory / 8,
 		memory: memory * 6 / 10}
 	b.nodes = free - b.clients
+	b.lingering = max(1, b.clients/lingeringPart)
+	b.clients -= b.lingering
 	b.open = b.clients
 	if c.Site.MostOpen > 0 {
 		b.open = min(b.open, c.Site.MostOpen)
@@ -97,6 +103,8 @@
 	termed  sync.Once
 	nodes   *nodes
 	started chan net.Addr
+
+	termAt time.Time // set before term is closed
 }
 
 // New prepares a scheduler.
@@ -131,7 +139,18 @@
 }
 
 // Term ends the scheduler in order.
-func (s *Scheduler) Term() { s.termed.Do(func() { close(s.term) }) }
+func (s *Scheduler) Term() {
+	s.termed.Do(func() {
+		s.termAt = time.Now()
+		close(s.term)
+	})
+}
+
+// stopBy is when a scheduler that was asked to end has to have ended, its connections lingering included.
+func (s *Scheduler) stopBy() time.Time {
+	_, end := stopTimes(&s.cfg.Site.Control)
+	return s.termAt.Add(end + killMargin/2)
+}
 
 // Reload takes over from a new configuration what may change while it runs: where discovery is.
 func (s *Scheduler) Reload(cfg *Config) {
@@ -178,7 +197,7 @@
 		"clients", s.lim.clients, "nodes", s.lim.nodes, "memory", s.lim.memory)
 	err = s.core.Loop(ctx, edges)
 	if err == nil {
-		s.front.drain(writeWithin)
+		s.front.drain(s.stopBy())
 	}
 	cancel()
 	ln.Close()
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -339,3 +339,5 @@
 	}
 	return strings.Replace(text, from, to, 1)
 }
+
+func newBuf(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
--- a/internal/sched/edges.go
+++ b/internal/sched/edges.go
@@ -70,7 +70,7 @@
 	// Counted first, then looked whether the scheduler stops: the loop ends only when it sees none counted.
 	open := c.open.Add(1)
 	switch {
-	case c.stopping():
+	case c.Stopping():
 		c.open.Add(-1)
 		return ReasonStopping
 	case open > int64(most):
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -115,6 +115,16 @@
 // Loop works until Stop has been carried out (nil) or ctx ends, which is a kill.
 func (c *Core) Loop(ctx context.Context, edges Edges) error { return newLoop(c, edges).run(ctx) }
 
+// IsReady tells whether the module holds the list of the start.
+func (c *Core) IsReady() bool {
+	select {
+	case <-c.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ready is closed once the module holds the list of the start.
 func (c *Core) Ready() <-chan struct{} { return c.ready }
 
@@ -193,7 +203,8 @@
 // Stop ends the scheduler in order: it takes nothing new, answers all that it holds, then Run returns.
 func (c *Core) Stop() { c.stopped.Do(func() { close(c.stop) }) }
 
-func (c *Core) stopping() bool {
+// Stopping tells whether Stop was called: nothing new is taken any more.
+func (c *Core) Stopping() bool {
 	select {
 	case <-c.stop:
 		return true
