The native pool asks again only what waited for a connection

Between decision and departure nothing can change (one batch), so the look belongs where an operation waited for its connection (pool.dialed), by the same Core.Stands as on the platform's sockets. internal/sched and internal/lab pass.

--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -632,9 +632,9 @@
 }
 
 // live is what of an operation is still to be sent: nothing is sent for a request that has its end or whose
-// time is up, nor to a node that drains or was restarted since. Where members have dropped out, the others
-// may not touch any more, so each goes alone. Of several of one ordered key only the first may: the others
-// go back to the module as not sent. (Sent side by side, they were carried out in any order.)
+// time is up. Where members have dropped out, the others may not touch any more, so each goes alone. Of
+// several of one ordered key only the first may: the others go back to the module as not sent. (Sent side by
+// side, they were carried out in any order.)
 func (l *loop) live(op *Operation) []*Operation {
 	var keep []*attempt
 	for _, a := range op.members {
@@ -643,8 +643,6 @@
 		case a.req.done || a.deadline <= l.now:
 			l.c.Stats.Moot.Add(1)
 			l.c.in.put(result{op: alone(a), code: control.Moot})
-		case !l.c.standings.ready(a):
-			l.c.in.put(result{op: alone(a), code: control.ConnectFailed})
 		default:
 			keep = append(keep, a)
 		}
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -141,6 +141,11 @@
 	n.waiting = nil
 	for _, op := range waiting {
 		for _, live := range l.live(op) {
+			// A node that drains or was restarted while the connection came up is not what was decided on.
+			if code := p.i.Stands(live); code != control.OK {
+				l.opEnded(result{op: live, code: code})
+				continue
+			}
 			p.Send(live)
 		}
 	}
