--- a/control/control.go
+++ b/control/control.go
@@ -30,11 +30,11 @@
 	headPart     = 0.5  // and none of them once the latency there is this part of the shortest aim
 	deviations   = 8    // an attempt this many mean deviations over the mean latency counts as lost
 	leastPeriod  = 50 * time.Millisecond
-	fitFrom      = 16.0                  // answers before sizes are held to tell anything of times
-	fitOver      = 512.0                 // answers over which that is learned
-	stallFrom    = 50 * time.Millisecond // a review that is this late means that the host itself stood still
-	reviewEvery  = 5 * time.Millisecond  // held requests are looked at this often while nothing else happens
-	watchAgain   = time.Second           // a lost watch is opened again after one to two of these
+	fitFrom      = 16.0                   // answers before sizes are held to tell anything of times
+	fitOver      = 512.0                  // answers over which that is learned
+	stallFrom    = 50 * time.Millisecond  // a review that is this late means that the host itself stood still
+	reviewEvery  = 5 * time.Millisecond   // held requests are looked at this often while nothing else happens
+	watchAgain   = 750 * time.Millisecond // a lost watch is opened again after one to two of these
 	downFirst    = 50 * time.Millisecond
 	downMost     = time.Second            // a node that fails rests for downFirst at first, at most this
 	forgetIn     = 500 * time.Millisecond // half of what an old latency tells of a node is forgotten
@@ -226,6 +226,7 @@
 	out       int           // attempts out
 	watched   bool          // the list was heard from since the watch was last asked for
 	watchAt   time.Duration // when to ask again if it was not
+	quick     time.Duration // the next wait before that is this part shorter
 	taken     line[time.Duration]
 	extras    line[time.Duration]
 	company   Company
@@ -338,10 +339,10 @@
 	if m.Form == ListFailed {
 		if h.set.Ask && (h.watched || h.watchAt > h.now+2*watchAgain) {
 			wait := watchAgain + time.Duration(h.rng.Int64N(int64(watchAgain)))
-			if h.watched { // one that stood and broke is mostly back at once
-				wait /= 8
+			if h.watched { // one that stood and broke is mostly back at once; its first call may fail too
+				h.quick = 8
 			}
-			h.watched = false
+			wait, h.quick, h.watched = wait/max(1, h.quick), h.quick/2, false
 			h.watchIn(wait)
 		}
 		return
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -942,7 +942,8 @@
 }
 
 // A watch that stood and broke is mostly back at once, and until then the list is old: it is asked for soon.
-// One that cannot be opened is asked for at leisure, as its service is down or has much to do.
+// What it missed counts as told soon, so that a first call that fails is followed sooner too, and only then
+// at leisure. One that never stood is asked for at leisure, as its service is down or has much to do.
 func TestWatchThatBrokeIsReopenedSooner(t *testing.T) {
 	set := settings()
 	set.Ask, set.AskWithin = true, 10*time.Second
@@ -956,13 +957,19 @@
 		t.Fatalf("no new watch in %v", acts)
 		return 0
 	}
-	r.do(Members{Form: ListDelta})
-	if d := after(r.do(Members{Form: ListFailed})); d < watchAgain/8 || d > watchAgain/4 {
-		t.Errorf("one that stood: asked for after %v", d)
-	}
-	r.now += watchAgain
-	r.do(Timer{Token: tokenWatch})
-	if d := after(r.do(Members{Form: ListFailed})); d < watchAgain || d > 2*watchAgain {
-		t.Errorf("one that could not be opened: asked for after %v", d)
+	for _, stood := range []bool{false, true, true} {
+		parts := []time.Duration{1, 1}
+		if stood {
+			r.do(Members{Form: ListDelta})
+			parts = []time.Duration{8, 4, 2, 1, 1}
+		}
+		for n, part := range parts {
+			d := after(r.do(Members{Form: ListFailed}))
+			if d < watchAgain/part || d > 2*watchAgain/part {
+				t.Errorf("stood %v, failure %d: asked for after %v", stood, n, d)
+			}
+			r.now += 2 * watchAgain
+			r.do(Timer{Token: tokenWatch})
+		}
 	}
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -34,6 +34,7 @@
 	Peers     []netip.AddrPort // by number
 	PeersAll  netip.AddrPort
 	Known     *List // nil: none was told
+	Pushed    bool  // what the machine's agent has of the list counts as told from a process's first moment
 	Site      wire.Site
 }
 
@@ -122,6 +123,9 @@
 		return nil, err
 	}
 	c.Known = f.Known
+	// A pushed list comes from the machine's agent on a watch that has to be kept open like any other: the
+	// module is to ask for it.
+	c.Pushed, c.Site.Control.Ask = !c.Site.Control.Ask, true
 	return c, c.peers(f)
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -192,7 +192,16 @@
 	wg.Go(func() { s.nodes.sweep(ctx) })
 	wg.Go(func() { s.tell(ctx) })
 	wg.Go(func() { s.stop(ctx, ln) })
-	wg.Go(func() { s.front.serve(ln) })
+	wg.Go(func() {
+		if s.cfg.Pushed { // nothing is taken before the first list is there, or cannot be had now
+			select {
+			case <-ctx.Done():
+			case <-disc.first:
+			case <-time.After(callWithin): // an agent that is there and has nothing new says nothing
+			}
+		}
+		s.front.serve(ln)
+	})
 	s.log.Info("scheduler started", "listen", ln.Addr().String(), "discovery", s.cfg.Discovery,
 		"clients", s.lim.clients, "nodes", s.lim.nodes, "memory", s.lim.memory)
 	err = s.core.Loop(ctx, edges)
