--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -28,6 +28,7 @@
 	clientHead   = 8 << 10
 	aheadMost    = 128 << 10 // of what comes while a request is in work
 	sweepClients = 100 * time.Millisecond
+	roomTries    = 20
 )
 
 // clientConn is one client's connection. Its session's goroutine alone reads it, shuts it and closes it; all
@@ -101,6 +102,12 @@
 	f.mu.Lock()
 	room := len(f.conns) < f.lim.clients
 	f.mu.Unlock()
+	for range roomTries { // a moment, where as many linger as may: new ones wait in the listener's queue
+		if room || !f.crowdedOut() {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
 	if !room && !f.makeRoom(false) {
 		return false
 	}
@@ -141,6 +148,9 @@
 		rank, after := c.missed()
 		return rank, c.state != working && (force || time.Since(c.since) >= after)
 	})
+	if f.crowdedOut() && !force {
+		return false // they are over within moments
+	}
 	for _, r := range rows {
 		if f.evict(r.c, true) {
 			f.counts.evicted.Add(1)
@@ -179,6 +189,13 @@
 	}
 }
 
+// crowdedOut tells whether as many connections linger as may.
+func (f *front) crowdedOut() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lingering >= f.lim.lingering
+}
+
 // crowd counts the connections by what they are at: silent so far, saying a request, idle, with one in work.
 func (f *front) crowd() (silent, saying, idle, work int) {
 	f.mu.Lock()
@@ -433,8 +450,8 @@
 func (f *front) linger(c *clientConn) {
 	f.mu.Lock()
 	f.lingers(c)
-	crowded := f.lingering > f.lim.lingering
 	f.mu.Unlock()
+	crowded := f.crowdedOut()
 	tcp, ok := c.conn.(*net.TCPConn)
 	if !ok || tcp.CloseWrite() != nil {
 		return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -45,7 +45,7 @@
 	b := bounds{clients: free * 60 / 100, kept: c.Limits.Sockets / 4, bodies: memory / 8,
 		memory: memory * 6 / 10}
 	b.nodes = free - b.clients
-	b.lingering = max(1, b.clients/lingeringPart)
+	b.lingering = max(2, b.clients/lingeringPart)
 	b.clients -= b.lingering
 	b.open = b.clients
 	if c.Site.MostOpen > 0 {
--- a/internal/sched/edges_test.go
+++ b/internal/sched/edges_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -77,3 +78,38 @@
 		}
 	}
 }
+
+// A call that was admitted before the stop and reaches the loop only when the time to stop in is over has its
+// answer all the same, in either order of the two.
+func TestCallsThatCrossTheEndOfAStop(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		edges := &noEdges{}
+		c := NewCore(CoreConfig{Settings: control.Settings{Hosts: 1,
+			Classes: []control.Class{{Aim: time.Second, Deadline: time.Second}},
+			Plans:   []control.Plan{{Weight: 1}}}})
+		l := newLoop(c, Edges{Nodes: edges, List: edges})
+		l.now = c.Now()
+		if why := c.Admit(1); why != "" {
+			t.Fatal(why)
+		}
+		c.Stop()
+		call := &Call{Caller: edges, At: l.now, Wait: time.Second, Ask: control.Request{Units: 1, Writers: 1}}
+		var wg sync.WaitGroup
+		if first {
+			c.Take(call)
+		} else {
+			wg.Go(func() {
+				time.Sleep(handOver / 10)
+				c.Take(call)
+			})
+		}
+		l.abandon()
+		wg.Wait()
+		if len(edges.got) != 1 || edges.got[0].Reason != ReasonStopping || c.open.Load() != 0 {
+			t.Errorf("taken first %v: answers %+v, %d open", first, edges.got, c.open.Load())
+		}
+		if why := c.Admit(1); why != ReasonStopping {
+			t.Errorf("after the stop: %q", why)
+		}
+	}
+}
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -82,6 +82,9 @@
 	told    time.Duration // when the counters were last logged
 }
 
+// handOver is how long a call may be between Admit and Take.
+const handOver = 50 * time.Millisecond
+
 // tellEvery is how often an instance that works logs its counters.
 const tellEvery = time.Minute
 
@@ -668,10 +671,22 @@
 	return out
 }
 
-// abandon answers all that is held when the time to stop in is over.
+// abandon answers all that is held when the time to stop in is over: also what was admitted before the stop
+// and is still on its way here, as it would wait for ever.
 func (l *loop) abandon() {
+	stopping := proto.Answer{Code: proto.Failed, Reason: ReasonStopping}
 	for _, r := range l.reqs {
-		l.finish(r.call, proto.Answer{Code: proto.Failed, Reason: ReasonStopping}, nil)
+		l.finish(r.call, stopping, nil)
+	}
+	for by := l.c.Now() + handOver; ; time.Sleep(time.Millisecond) {
+		for _, item := range l.c.in.take(nil) {
+			if k, ok := item.(*Call); ok {
+				l.finish(k, stopping, nil)
+			}
+		}
+		if l.c.open.Load() == 0 || l.c.Now() >= by {
+			return
+		}
 	}
 }
 
