--- a/internal/platform/crossings_nodes_test.go
+++ b/internal/platform/crossings_nodes_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"landingpaddle/internal/sched"
 )
 
 // heldConnect makes connections to disk servers come up only when they are let through.
@@ -213,3 +215,35 @@
 		t.Error("taken although something came on it that nobody asked for")
 	}
 }
+
+// An attempt that is called off as its answer has just come: either its connection is closed and never idles,
+// or it has been let go and stays whole for the next.
+func TestCallOffCrossesTheAnswer(t *testing.T) {
+	for _, offFirst := range []bool{true, false} {
+		d := newDisk(t, func(int, *got) []byte { return ok("ok") })
+		r := start(t, 256, d)
+		n := r.s.nodes
+		c, err := n.dial(context.Background(), d.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		op := &sched.Operation{}
+		a := &attempt{n: n, op: op, conn: c.conn}
+		a.ctx, a.cancel = context.WithCancel(context.Background())
+		op.Edge = a
+		if offFirst {
+			n.CallOff(op)
+			n.put(a, c)
+		} else {
+			n.put(a, c)
+			n.CallOff(op)
+		}
+		n.mu.Lock()
+		idle, held := len(n.idle[op.Server()]), n.held
+		n.mu.Unlock()
+		if want := map[bool]int{true: 0, false: 1}[offFirst]; idle != want || held != want ||
+			quiet(c.conn) == offFirst {
+			t.Errorf("called off first %v: %d idle, %d held, open %v", offFirst, idle, held, quiet(c.conn))
+		}
+	}
+}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -829,3 +829,26 @@
 	s.acts = nil
 	return acts
 }
+
+// A node whose greeting tells of a newer start than the list, on the very connection that a request waits
+// for, is another process than the one decided on, and cold: the request is not sent before it is decided
+// on anew.
+func TestGreetingOfANewerStart(t *testing.T) {
+	r := newRig(t)
+	boot := time.Now().Add(-2 * time.Minute).UnixNano()
+	n := &fakeNode{ln: r.listen(), conns: make(chan *proto.Conn, 64)}
+	r.serve(n, proto.Config{Hello: proto.Hello{Role: "node", Boot: boot + int64(time.Minute)}}, echo)
+	e := n.entry(0, control.Ready)
+	e.Boot = boot
+	r.list.Put(e)
+	r.start(nil)
+	r.logged("node=" + n.ln.Addr().String())
+	c := r.client()
+	if a := c.wait(c.ask(nil)); a.Code != proto.OK {
+		t.Errorf("got %+v", a)
+	}
+	if s := &r.inst.Stats; n.got.Load() != 1 || s.ConnectFailed.Load() != 1 || s.Sends.Load() != 2 {
+		t.Errorf("%d requests came, %d attempts were not made, %d decided on; want 1, 1 and 2", n.got.Load(),
+			s.ConnectFailed.Load(), s.Sends.Load())
+	}
+}
