--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -189,13 +189,16 @@
 	}
 }
 
-// crowdedOut tells whether as many connections linger as may.
-func (f *front) crowdedOut() bool {
+// ending is how many connections linger.
+func (f *front) ending() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lingering >= f.lim.lingering
+	return f.lingering
 }
 
+// crowdedOut tells whether as many connections linger as may.
+func (f *front) crowdedOut() bool { return f.ending() >= f.lim.lingering }
+
 // crowd counts the connections by what they are at: silent so far, saying a request, idle, with one in work.
 func (f *front) crowd() (silent, saying, idle, work int) {
 	f.mu.Lock()
