Names: cancel and client gone, as the field has them; a new process is ready before it accepts

No change of behaviour but for pushed lists, where clients are accepted after the module is ready too.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -299,7 +299,7 @@
 	} else {
 		f.core.Take(e.call)
 		if !f.watch(c) {
-			f.core.Left(e.call)
+			f.core.ClientGone(e.call)
 			<-e.done
 			return false
 		}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -86,8 +86,8 @@
 	go a.run()
 }
 
-// CallOff ends an attempt: its connection is closed, which is how disk servers are told.
-func (n *nodes) CallOff(op *sched.Operation) {
+// Cancel ends an attempt: its connection is closed, which is how disk servers are told.
+func (n *nodes) Cancel(op *sched.Operation) {
 	if a, ok := op.Edge.(*attempt); ok {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -99,8 +99,8 @@
 	}
 }
 
-// CallOffMember does nothing: here every operation is of one attempt.
-func (n *nodes) CallOffMember(*sched.Operation, int) {}
+// CancelMember does nothing: here every operation is of one attempt.
+func (n *nodes) CancelMember(*sched.Operation, int) {}
 
 // run carries the attempt out and tells its one outcome.
 func (a *attempt) run() {
@@ -269,7 +269,7 @@
 	return longestRead
 }
 
-// put lets a connection idle. One whose attempt was called off meanwhile is closed already.
+// put lets a connection idle. One whose attempt was cancelled meanwhile is closed already.
 func (n *nodes) put(a *attempt, c *nodeConn) {
 	a.mu.Lock()
 	over := a.over
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -199,6 +199,10 @@
 			case <-disc.first:
 			case <-time.After(callWithin): // an agent that is there and has nothing new says nothing
 			}
+			select {
+			case <-ctx.Done():
+			case <-s.core.Ready():
+			}
 		}
 		s.front.serve(ln)
 	})
@@ -297,7 +301,8 @@
 	var mem runtime.MemStats
 	runtime.ReadMemStats(&mem)
 	return slog.GroupValue(slog.Any("counters", &s.core.Stats), slog.Int("silent", silent),
-		slog.Int("saying", saying), slog.Int("idle", idling), slog.Int("work", work), slog.Int("lingering", f.ending()),
+		slog.Int("saying", saying), slog.Int("idle", idling), slog.Int("work", work),
+		slog.Int("lingering", f.ending()),
 		slog.Int("node_conns", held), slog.Int("node_idle", idle),
 		slog.Uint64("accepted", f.counts.accepted.Load()), slog.Uint64("turned", f.counts.turned.Load()),
 		slog.Uint64("never_said", f.counts.silent.Load()), slog.Uint64("evicted", f.counts.evicted.Load()),
--- a/internal/sched/edges.go
+++ b/internal/sched/edges.go
@@ -24,12 +24,12 @@
 	Answer(a proto.Answer, payload []byte)
 }
 
-// Nodes carries attempts out. Each operation sent gets one Ended, unless it was called off before.
+// Nodes carries attempts out. Each operation sent gets one Ended, unless it was cancelled before.
 type Nodes interface {
 	Send(op *Operation)
-	// CallOff ends an operation that nobody waits for any more.
-	CallOff(op *Operation)
-	CallOffMember(op *Operation, place int)
+	// Cancel ends an operation that nobody waits for any more.
+	Cancel(op *Operation)
+	CancelMember(op *Operation, place int)
 	Probe(s control.Server) // answered by Probed
 	CloseIdle(s control.Server)
 }
@@ -84,10 +84,10 @@
 // Take hands an admitted call to the loop.
 func (c *Core) Take(k *Call) { c.in.put(k) }
 
-// Left tells that a call's client is gone or wants no answer any more.
-func (c *Core) Left(k *Call) {
+// ClientGone tells that a call's client is gone or wants no answer any more.
+func (c *Core) ClientGone(k *Call) {
 	k.over.Store(true) // at once: the loop may be a batch away, and an attempt about to begin
-	c.in.put(departed{k})
+	c.in.put(clientGone{k})
 }
 
 // Ended tells how an operation ended.
--- a/internal/sched/front.go
+++ b/internal/sched/front.go
@@ -94,7 +94,7 @@
 	c.calls = nil
 	c.mu.Unlock()
 	for _, k := range left {
-		f.i.Left(k)
+		f.i.ClientGone(k)
 	}
 }
 
@@ -107,7 +107,7 @@
 		k := c.calls[fr.Stream]
 		c.mu.Unlock()
 		if k != nil {
-			f.i.Left(k)
+			f.i.ClientGone(k)
 		}
 		return nil
 	case proto.TypeProbe:
--- a/internal/sched/loop.go
+++ b/internal/sched/loop.go
@@ -16,7 +16,7 @@
 // What reaches the loop beside *Call, control.Peer, control.Probed, roster.News and what an edge wants done
 // on the loop (a func).
 type (
-	departed   struct{ call *Call } // the client left or called off
+	clientGone struct{ call *Call } // the client left or cancelled
 	listFailed struct{ err error }
 	notice     struct { // a node told on its connection that it drains
 		server control.Server
@@ -174,7 +174,7 @@
 		l.decide()
 	}
 	if l.fresh {
-		// Carrying out told the module something (an attempt called off has its outcome at once): what it
+		// Carrying out told the module something (an attempt cancelled has its outcome at once): what it
 		// wants done about that must not wait for the next thing to happen.
 		l.c.in.ring()
 	}
@@ -210,8 +210,8 @@
 	switch x := item.(type) {
 	case *Call:
 		l.take(x)
-	case departed:
-		l.left(x.call)
+	case clientGone:
+		l.clientGone(x.call)
 	case result:
 		l.opEnded(x)
 	case begun:
@@ -336,13 +336,13 @@
 	l.drop(k, ReasonOverdue)
 }
 
-// left ends a call whose client is gone or wants no answer any more.
-func (l *loop) left(k *Call) {
+// clientGone ends a call whose client is gone or wants no answer any more.
+func (l *loop) clientGone(k *Call) {
 	if k.done || k.reqs == nil {
 		return
 	}
-	l.c.Stats.Left.Add(1)
-	l.drop(k, ReasonLeft)
+	l.c.Stats.ClientGone.Add(1)
+	l.drop(k, ReasonClientGone)
 }
 
 // drop answers a call as failed and lets the module know that nothing is owed for it any more.
@@ -527,7 +527,7 @@
 	l.settle(r)
 }
 
-// giveUp ends an attempt on this side: its time is up or it was called off. An operation is called off at
+// giveUp ends an attempt on this side: its time is up or it was cancelled. An operation is cancelled at
 // its node once no member waits for it, and one of several members for itself: a write that was given up on
 // here but still stood in an operation at its node was done after a later one of its key.
 func (l *loop) giveUp(a *attempt, code control.Code) {
@@ -536,10 +536,10 @@
 	}
 	l.ended(a, code, proto.Answer{}, nil, false)
 	if slices.ContainsFunc(a.op.members, func(o *attempt) bool { return !o.over }) {
-		l.edges.Nodes.CallOffMember(a.op, slices.Index(a.op.members, a))
+		l.edges.Nodes.CancelMember(a.op, slices.Index(a.op.members, a))
 		return
 	}
-	l.edges.Nodes.CallOff(a.op)
+	l.edges.Nodes.Cancel(a.op)
 }
 
 func (l *loop) act(action control.Action) {
--- a/internal/sched/pool.go
+++ b/internal/sched/pool.go
@@ -186,16 +186,16 @@
 	return op
 }
 
-// CallOff tells the node that an answer is no longer wanted. The stream stays in flight until the node ends
+// Cancel tells the node that an answer is no longer wanted. The stream stays in flight until the node ends
 // it, so that a node that answers nothing does not get more than was agreed.
-func (p *pool) CallOff(op *Operation) {
+func (p *pool) Cancel(op *Operation) {
 	if at, ok := op.Edge.(flight); ok && at.conn.take(at.stream) != nil {
 		_ = at.conn.conn.Post(proto.TypeCancel, at.stream, nil, nil) // a closed connection reports itself
 	}
 }
 
-// CallOffMember tells the node that one of an operation's members no longer waits.
-func (p *pool) CallOffMember(op *Operation, place int) {
+// CancelMember tells the node that one of an operation's members no longer waits.
+func (p *pool) CancelMember(op *Operation, place int) {
 	if at, ok := op.Edge.(flight); ok {
 		call := proto.Cancel{Members: []uint16{uint16(place)}}
 		_ = at.conn.conn.Post(proto.TypeCancel, at.stream, call, nil) // a closed connection reports itself
--- a/internal/sched/reasons.go
+++ b/internal/sched/reasons.go
@@ -19,7 +19,7 @@
 	ReasonError       = "node-error"
 	ReasonCancelled   = "cancelled"
 	ReasonMoot        = "not-there" // the node does not hold the cell
-	ReasonLeft        = "client-left"
+	ReasonClientGone  = "client-gone"
 	ReasonOverdue     = "overdue" // the module gave no answer in time: a fault of ours, logged as an error
 	ReasonTooLarge    = "answer-too-large"
 )
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -286,7 +286,7 @@
 
 // Stats count what an instance did; all may be read at any time.
 type Stats struct {
-	Taken, Served, Refused, Failed, Left            atomic.Uint64
+	Taken, Served, Refused, Failed, ClientGone      atomic.Uint64
 	Sends, Batches, Late, Moot, Overdue, KeptFailed atomic.Uint64
 
 	// Attempts that ended, by code.
@@ -321,7 +321,7 @@
 	add("served", &s.Served)
 	add("refused", &s.Refused)
 	add("failed", &s.Failed)
-	add("left", &s.Left)
+	add("client_gone", &s.ClientGone)
 	add("sends", &s.Sends)
 	add("late", &s.Late)
 	add("overdue", &s.Overdue)
