Tests: one piece starts a scheduler, one makes a client's connection

start and startAt set a scheduler up, ran it and ended it in the same lines; startAt lacked the log at debug level and its print on failure. launch does it for both. TestStopAcceptsNoMore made its client by hand, without the deadline that dial's have; newCaller makes both.

--- a/internal/platform/crossings_clients_test.go
+++ b/internal/platform/crossings_clients_test.go
@@ -294,7 +294,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		cl := &caller{t: t, conn: conn, br: newBuf(conn)}
+		cl := newCaller(t, conn)
 		if text != "" {
 			cl.send(text)
 		}
--- a/internal/platform/crossings_lists_test.go
+++ b/internal/platform/crossings_lists_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -87,23 +85,7 @@
 	if change != nil {
 		text = change(text)
 	}
-	cfg, err := parse([]byte(text), noEnv)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &rig{t: t, done: make(chan error, 1), log: &safeBuffer{}}
-	if r.s, err = New(cfg, slog.New(slog.NewTextHandler(r.log, nil))); err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		r.done <- r.s.Run(ctx)
-	}()
-	t.Cleanup(func() { cancel(); <-ended })
-	r.addr = (<-r.s.started).String()
-	return r
+	return launch(t, []byte(text))
 }
 
 func (r *rig) holds(version uint64, by time.Time) {
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -233,11 +233,20 @@
 	for i, d := range disks {
 		l.Instances = append(l.Instances, listed(fmt.Sprintf("s-%d", i), d, i))
 	}
-	r := &rig{t: t, list: newLists(t, l), done: make(chan error, 1), log: &safeBuffer{}}
-	cfg, err := parse(configDoc(r.list.addr(), &l, sockets), noEnv)
+	list := newLists(t, l)
+	r := launch(t, configDoc(list.addr(), &l, sockets))
+	r.list = list
+	<-r.s.core.Ready()
+	return r
+}
+
+// launch runs a scheduler with a configuration until the test ends; its log is shown if that fails.
+func launch(t *testing.T, config []byte) *rig {
+	cfg, err := parse(config, noEnv)
 	if err != nil {
 		t.Fatal(err)
 	}
+	r := &rig{t: t, done: make(chan error, 1), log: &safeBuffer{}}
 	if r.s, err = New(cfg, slog.New(slog.NewTextHandler(r.log,
 		&slog.HandlerOptions{Level: slog.LevelDebug}))); err != nil {
 		t.Fatal(err)
@@ -256,7 +265,6 @@
 		}
 	})
 	r.addr = (<-r.s.started).String()
-	<-r.s.core.Ready()
 	return r
 }
 
@@ -282,9 +290,13 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(func() { conn.Close() })
+	return newCaller(r.t, conn)
+}
+
+func newCaller(t *testing.T, conn net.Conn) *caller {
+	t.Cleanup(func() { conn.Close() })
 	conn.SetDeadline(time.Now().Add(10 * time.Second))
-	return &caller{r.t, conn, bufio.NewReader(conn)}
+	return &caller{t, conn, bufio.NewReader(conn)}
 }
 
 func (c *caller) send(text string) {
@@ -339,5 +351,3 @@
 	}
 	return strings.Replace(text, from, to, 1)
 }
-
-func newBuf(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
