One test for a passed deadline, one for a closed channel; room is looked for once it is wanted

From reading the whole change again; behaviour stays. Four places spelt out whether an error is a passed deadline (timedOut), two whether a channel is closed (closed). enter went through its wait with a flag that could not change, and makeRoom ranked all connections before it looked whether it may evict at all.

--- a/control/control.go
+++ b/control/control.go
@@ -945,7 +945,8 @@
 		r.charged = true
 		r.vol.limit.level -= r.Units
 	}
-	r.attempts, h.out = r.attempts+1, h.out+1
+	r.attempts++
+	h.out++
 	r.node, r.sentAt, r.unpinned, r.lead, r.load = n, h.now, lead != nil, lead, r.Units
 	act := Send{ID: r.ID, Server: n.Server, Allow: h.allow(r)}
 	if r.ranAt != nil && r.class.Repeat == Keyed {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -102,14 +102,14 @@
 	f.mu.Lock()
 	room := len(f.conns) < f.lim.clients
 	f.mu.Unlock()
-	for range roomTries { // a moment, where as many linger as may: new ones wait in the listener's queue
-		if room || !f.crowdedOut() {
-			break
+	if !room {
+		// A moment, where as many linger as may: new ones wait in the listener's queue.
+		for try := 0; try < roomTries && f.crowdedOut(); try++ {
+			time.Sleep(time.Millisecond)
+		}
+		if !f.makeRoom(false) {
+			return false
 		}
-		time.Sleep(time.Millisecond)
-	}
-	if !room && !f.makeRoom(false) {
-		return false
 	}
 	f.mu.Lock()
 	f.conns[c] = struct{}{}
@@ -144,13 +144,13 @@
 // that is slow to say its request, else the one that has idled for the longest. One that idles but on which a
 // request waits to be read stays.
 func (f *front) makeRoom(force bool) bool {
+	if f.crowdedOut() && !force {
+		return false // they are over within moments
+	}
 	rows := f.ranked(func(c *clientConn) (int, bool) {
 		rank, after := c.missed()
 		return rank, c.state != working && (force || time.Since(c.since) >= after)
 	})
-	if f.crowdedOut() && !force {
-		return false // they are over within moments
-	}
 	for _, r := range rows {
 		if f.evict(r.c, true) {
 			f.counts.evicted.Add(1)
@@ -306,11 +306,10 @@
 			f.linger(c)
 			return false
 		}
-		var late net.Error
 		switch err := c.rd.Await(); {
 		case err == nil:
 			c.at = f.core.Now()
-		case errors.As(err, &late) && late.Timeout():
+		case timedOut(err):
 			f.mu.Lock()
 			c.ending = true // unless something came in that very moment
 			f.mu.Unlock()
@@ -382,14 +381,13 @@
 		}
 		was := c.rd.Buffered()
 		err := c.rd.Ahead(aheadMost)
-		var late net.Error
 		switch {
 		case err == nil:
 			if was == 0 {
 				c.at = f.core.Now()
 			}
 			f.account(c)
-		case errors.Is(err, http1.ErrFull), errors.As(err, &late) && late.Timeout():
+		case errors.Is(err, http1.ErrFull), timedOut(err):
 			return true
 		default:
 			return false
@@ -432,10 +430,9 @@
 // turnAway answers what cannot be taken with its error and ends the connection.
 func (f *front) turnAway(c *clientConn, cause error) {
 	var e *http1.Error
-	var late net.Error
 	switch {
 	case errors.As(cause, &e):
-	case errors.As(cause, &late) && late.Timeout():
+	case timedOut(cause):
 		e = &http1.Error{Status: 408, What: "the request did not come in time"}
 	default:
 		return // the client is gone
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -410,9 +410,8 @@
 		return control.ConnectFailed
 	}
 	p, err := c.rd.Response()
-	var late net.Error
 	switch {
-	case errors.As(err, &late) && late.Timeout():
+	case timedOut(err):
 		return control.TimedOut
 	case err != nil:
 		return control.Reset
--- a/internal/platform/quiet.go
+++ b/internal/platform/quiet.go
@@ -25,3 +25,9 @@
 	})
 	return err == nil && still
 }
+
+// timedOut tells whether an error is that a deadline passed.
+func timedOut(err error) bool {
+	var late net.Error
+	return errors.As(err, &late) && late.Timeout()
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -116,9 +116,11 @@
 func (c *Core) Loop(ctx context.Context, edges Edges) error { return newLoop(c, edges).run(ctx) }
 
 // IsReady tells whether the module holds the list of the start.
-func (c *Core) IsReady() bool {
+func (c *Core) IsReady() bool { return closed(c.ready) }
+
+func closed(ch <-chan struct{}) bool {
 	select {
-	case <-c.ready:
+	case <-ch:
 		return true
 	default:
 		return false
@@ -204,14 +206,7 @@
 func (c *Core) Stop() { c.stopped.Do(func() { close(c.stop) }) }
 
 // Stopping tells whether Stop was called: nothing new is taken any more.
-func (c *Core) Stopping() bool {
-	select {
-	case <-c.stop:
-		return true
-	default:
-		return false
-	}
-}
+func (c *Core) Stopping() bool { return closed(c.stop) }
 
 var errDone = errors.New("stopped in order")
 
