--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	budget          time.Duration
 	body            []byte
 	key             string
+	extent          string // the piece of data; empty: one named like the request
 }
 
 func newID() string { return fmt.Sprintf("%016x", 0x9b1f03aa00000000+lastID.Add(1)) }
@@ -33,7 +35,7 @@
 	text := fmt.Appendf(nil, "%s /api?extent=%s HTTP/1.1\r\nHost: %s\r\nX-Call-Id: %s\r\n"+
 		"X-Call-Class: %s\r\nX-Storage-Class: %s\r\nX-Budget: %.3f\r\n"+
 		"X-Extent: volume=00000003b4d60021,units=1,shard=%d,hosts=1\r\n",
-		method, c.id, host, c.id, c.class, c.plan, c.budget.Seconds(), c.shard)
+		method, cmp.Or(c.extent, c.id), host, c.id, c.class, c.plan, c.budget.Seconds(), c.shard)
 	if c.key != "" {
 		text = fmt.Appendf(text, "Idempotency-Key: %s\r\n", c.key)
 	}
@@ -67,10 +69,20 @@
 
 // do sends one request and waits for its whole answer, up to half a second after its time.
 func (c *clientConn) do(rec *record, request *call) answer {
-	rec.add("client sends %s %s shard %d", request.class, request.id, request.shard)
-	if _, err := c.conn.Write(request.encode("service.internal")); err != nil {
+	if err := c.send(rec, request); err != nil {
 		return answer{err: err, at: time.Now()}
 	}
+	return c.receive(rec, request)
+}
+
+func (c *clientConn) send(rec *record, request *call) error {
+	rec.add("client sends %s %s shard %d", request.class, request.id, request.shard)
+	_, err := c.conn.Write(request.encode("service.internal"))
+	return err
+}
+
+// receive waits for the whole answer, up to half a second after the request's time.
+func (c *clientConn) receive(rec *record, request *call) answer {
 	_ = c.conn.SetReadDeadline(time.Now().Add(request.budget + 500*time.Millisecond))
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
@@ -82,7 +94,6 @@
 	rec.add("client gets %d for %s, %d bytes, error %v", got.status, request.id, len(body), err)
 	if response.Close {
 		c.conn.Close()
-		got.err = err
 	}
 	return got
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	"short-length":   shortLength,
 	"sends-and-goes": sendsAndGoes,
 	"slow-discovery": slowDiscovery,
+	"held-up":        heldUp,
 }
 
 func main() {
