--- a/review/standin/slow_discovery.go
+++ b/review/standin/slow_discovery.go
@@ -12,8 +12,9 @@
 	toldAfter   = 6 * time.Second // at the latest, after discovery had the change
 )
 
-// slowDiscovery lets discovery answer each call late. Long after the start a disk server begins to drain; its
-// requests go to a new one. It checks that nothing new comes to the draining one after the grace.
+// slowDiscovery lets discovery answer each call late. Long after the start a disk server begins to drain, and
+// a new one is ready for its shard, which clients write. It checks that nothing new comes to the draining one
+// after the grace.
 func slowDiscovery(rec *record, trouble bool) error {
 	delay := time.Duration(0)
 	if trouble {
@@ -49,8 +50,13 @@
 				return
 			case <-time.After(50 * time.Millisecond):
 			}
-			ask(rec, g.address, &call{id: newID(), class: "field-read", plan: "standard", shard: i % 2,
-				budget: 2 * time.Second})
+			request := &call{id: newID(), class: "field-read", plan: "standard", shard: i % 2,
+				budget: 2 * time.Second}
+			if request.shard == 0 {
+				request.class, request.write, request.key = "field-write", true, request.id
+				request.body = []byte("data of " + request.id)
+			}
+			ask(rec, g.address, request)
 		}
 	}()
 	time.Sleep(5 * time.Second)
