--- a/review/standin/held_up.go
+++ b/review/standin/held_up.go
@@ -92,7 +92,8 @@
 	for _, client := range clients {
 		id := newID()
 		request := &call{id: id, extent: fmt.Sprintf("%016x", 0x7f3a+round), class: "field-write",
-			plan: "standard", write: true, budget: 3 * time.Second, body: []byte("data of " + id), key: id}
+			plan: "standard", write: true, budget: 3 * time.Second, body: []byte("data of " + id),
+			key: id}
 		write := sentWrite{id: id, before: time.Now()}
 		if err := client.send(rec, request); err != nil {
 			return 0, err
