--- a/review/standin/held_up.go
+++ b/review/standin/held_up.go
@@ -64,8 +64,8 @@
 	before, after time.Time
 }
 
-// turnedWrites sends writes of one key, each on a kept connection of its own, and returns how many of them ran
-// before one that had been taken over 50 ms earlier.
+// turnedWrites sends writes of one key, each on a kept connection of its own, and returns how many of them
+// ran before one that had been taken over 50 ms earlier.
 func turnedWrites(rec *record, g *gateway, server *diskServer, round int, trouble bool) (int, error) {
 	var clients []*clientConn
 	for range writersAtOnce {
