Review: a case that is stopped ends its scheduler too

Change: the stand-in ends both on a signal and after 110 s; the scheduler is killed if the stand-in is killed.

--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -17,6 +19,7 @@
 const (
 	readyTimeout = 10 * time.Second
 	exitTimeout  = 6 * time.Second
+	caseTimeout  = 110 * time.Second // a script runs for 120 s at most
 )
 
 // gateway is one scheduler process, started by the run command of the deploy file.
@@ -70,14 +73,46 @@
 	g.command.Env = append(os.Environ(), "BALANCER_CONFIG="+config, "BALANCER_NAME=n0",
 		"BALANCER_LISTEN="+g.address, "BALANCER_DISCOVERY="+s.discovery, "TMPDIR="+folder)
 	g.command.Stdout, g.command.Stderr = log, log
-	if err := g.command.Start(); err != nil {
+	if err := g.run(); err != nil {
 		return nil, err
 	}
+	stopOnSignal(g)
+	return g, g.awaitReady()
+}
+
+// run starts the process. It is killed when this one ends, however that comes about: the signal is bound to the
+// thread that started it, so that thread stays until the process has ended.
+func (g *gateway) run() error {
+	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
 	go func() {
-		_ = g.command.Wait()
-		close(g.ended)
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		err := g.command.Start()
+		started <- err
+		if err == nil {
+			_ = g.command.Wait()
+			close(g.ended)
+		}
+	}()
+	return <-started
+}
+
+// stopOnSignal ends a scheduler and this program when a signal asks for it or a case takes too long. The case
+// has not run then.
+func stopOnSignal(g *gateway) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-received:
+		case <-time.After(caseTimeout):
+		}
+		_ = g.command.Process.Kill()
+		<-g.ended
+		_ = os.RemoveAll(g.folder)
+		os.Exit(2)
 	}()
-	return g, g.awaitReady()
 }
 
 func deployRunCommand() (string, error) {
