--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -80,8 +80,8 @@
 	return g, g.awaitReady()
 }
 
-// run starts the process. It is killed when this one ends, however that comes about: the signal is bound to the
-// thread that started it, so that thread stays until the process has ended.
+// run starts the process. It is killed when this one ends, however that comes about: the signal is bound to
+// the thread that started it, so that thread stays until the process has ended.
 func (g *gateway) run() error {
 	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error, 1)
