Fail an attempt if its body may be longer than the stated length

Cause: attempt.roundTrip used the bytes behind a response only to decide on the connection; the response was served whatever they were. Bodies beyond the codec's buffer are read to their stated length, so their rest stayed unseen in the socket. Change: what arrived behind a 200, in the buffer and in the socket, must be another response with its whole head; else the attempt ends as a reset, which may have run, is counted as invalid and logged with its reason. The check stands where the body is accepted, so it holds for lengths and chunks alike. Noise behind a sound answer is treated like the rest of a body: the two cannot be told apart.

--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -26,6 +26,7 @@
 	errLengthRange    = newError(http.StatusRequestEntityTooLarge, "Content-Length is out of range")
 	errLengthRequired = newError(http.StatusLengthRequired, "a request states its length")
 	errUnknownCoding  = newError(http.StatusNotImplemented, "the transfer coding is not known")
+	errLengthDoubtful = newError(http.StatusBadRequest, "the body may be longer than its stated length")
 	errUnknownVersion = newError(http.StatusHTTPVersionNotSupported, "the version is not HTTP/1.1")
 )
 
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -1,6 +1,9 @@
 package http1
 
-import "io"
+import (
+	"bytes"
+	"io"
+)
 
 // Reader reads messages from one connection. Its buffer contains heads and the bytes that were received
 // together with them; the rest of a body of known length is read without the buffer.
@@ -20,6 +23,9 @@
 // Buffered returns the number of bytes that were read but not yet consumed as part of a message.
 func (r *Reader) Buffered() int { return r.end - r.start }
 
+// Unread returns a copy of the bytes that were read but not yet consumed as part of a message.
+func (r *Reader) Unread() []byte { return bytes.Clone(r.buffer[r.start:r.end]) }
+
 // BufferSize returns the size of the buffer in bytes.
 func (r *Reader) BufferSize() int { return len(r.buffer) }
 
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,8 +18,34 @@
 // ReadResponse reads a complete response to a request other than HEAD. Interim responses (status 1xx) before
 // it are skipped. A rejected response is reported as an *Error.
 func (r *Reader) ReadResponse() (*Response, error) {
+	response, err := r.readFinalHead()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.readResponseBody(response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// CheckTrailing returns an *Error unless the bytes that follow a response on its connection leave no doubt that
+// the body is complete. Nothing may follow, or another response, such as a second copy, recognized by its
+// whole head. Any other bytes may be the rest of a body whose stated length is too short.
+func CheckTrailing(trailing []byte) error {
+	if len(trailing) == 0 {
+		return nil
+	}
+	reader := NewReader(bytes.NewReader(trailing), Limits{MaxHead: len(trailing)})
+	if _, err := reader.readFinalHead(); err != nil {
+		return errLengthDoubtful
+	}
+	return nil
+}
+
+// readFinalHead reads the head of the next final response and skips the interim responses before it.
+func (r *Reader) readFinalHead() (*Response, error) {
 	for range maxInterimResponses + 1 {
-		response, err := r.readResponse()
+		response, err := r.readResponseHead()
 		if err != nil || !response.isInterim() {
 			return response, err
 		}
@@ -28,8 +55,8 @@
 
 func (response *Response) isInterim() bool { return response.Status < http.StatusOK }
 
-// readResponse reads one response, interim or final.
-func (r *Reader) readResponse() (*Response, error) {
+// readResponseHead reads the head of one response, interim or final.
+func (r *Reader) readResponseHead() (*Response, error) {
 	if err := r.expectPrefix("HTTP/1."); err != nil {
 		return nil, err
 	}
@@ -49,13 +76,7 @@
 	if response.Status == http.StatusSwitchingProtocols {
 		return nil, malformed("nobody asked for another protocol")
 	}
-	if response.isInterim() {
-		return response, nil
-	}
 	response.Close = response.Header.closesConnection(line.version)
-	if err := r.readResponseBody(response); err != nil {
-		return nil, err
-	}
 	return response, nil
 }
 
--- a/internal/http1/response_test.go
+++ b/internal/http1/response_test.go
@@ -96,3 +96,35 @@
 		})
 	}
 }
+
+// Guards against taking a body with too short a stated length for a whole one: only nothing, or another
+// response with its whole head, may follow a response.
+func TestCheckTrailing_AcceptsOnlyResponses(t *testing.T) {
+	const copied = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Delta: 3\r\n\r\nhi"
+	for name, test := range map[string]struct {
+		trailing string
+		isWhole  bool
+	}{
+		"nothing":                     {"", true},
+		"second copy":                 {copied, true},
+		"head of a second copy":       {copied[:len(copied)-len("hi")], true},
+		"interim response, then copy": {"HTTP/1.1 100 x\r\n\r\n" + copied, true},
+		"two more copies":             {copied + copied, true},
+		"another response":            {"HTTP/1.1 500 x\r\n\r\n", true},
+		"part of a head":              {copied[:len(copied)-len("\nhi")], false},
+		"one byte of a head":          {"H", false},
+		"rest of a body":              {" there", false},
+		"rest of a body, then a copy": {" there" + copied, false},
+		"line end, then a copy":       {"\r\n" + copied, false},
+		"noise":                       {"\x00\x01", false},
+		"interim responses only":      {strings.Repeat("HTTP/1.1 100 x\r\n\r\n", 20), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := CheckTrailing([]byte(test.trailing))
+			var rejected *Error
+			if (err == nil) != test.isWhole || err != nil && !errors.As(err, &rejected) {
+				t.Errorf("got %v, want accepted %v, else an *Error", err, test.isWhole)
+			}
+		})
+	}
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -116,16 +116,24 @@
 		a.reportInvalid(entry, err)
 		return attemptResult{code: scheduler.Reset}
 	}
-	isUnsolicited := connection.reader.Buffered() > 0
-	if isUnsolicited {
+	trailing := connection.trailingBytes()
+	if len(trailing) > 0 {
 		a.pool.counters.unsolicited.Add(1)
 	}
-	if response.Close || isUnsolicited {
+	if response.Close || len(trailing) > 0 {
 		a.pool.discard(connection)
 	} else {
 		a.pool.releaseAfterAnswer(a, connection)
 	}
-	return resultOf(response)
+	result := resultOf(response)
+	if result.code != scheduler.OK {
+		return result // its body is not used
+	}
+	if err := http1.CheckTrailing(trailing); err != nil {
+		a.reportInvalid(entry, err)
+		return attemptResult{code: scheduler.Reset}
+	}
+	return result
 }
 
 func (a *attempt) encodeRequest(host string, timeLeft time.Duration) []byte {
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"syscall"
@@ -13,21 +14,30 @@
 // isOpenAndEmpty reports whether a connection is open and has no data to read. It consumes no data. A
 // connection that is not a socket counts as open and empty.
 func isOpenAndEmpty(conn net.Conn) bool {
+	var buffer [1]byte
+	_, err := peek(conn, buffer[:])
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// peek copies data that has arrived on a connection into buffer without consuming it, and returns the number
+// of bytes; 0 if the connection has ended. It does not wait: if nothing has arrived, or the connection is not
+// a socket, the error is syscall.EAGAIN.
+func peek(conn net.Conn, buffer []byte) (count int, err error) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	wouldBlock := false
-	err = raw.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		wouldBlock = errors.Is(err, syscall.EAGAIN)
+	controlErr := raw.Control(func(descriptor uintptr) {
+		count, _, err = syscall.Recvfrom(int(descriptor), buffer, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && wouldBlock
+	if err := cmp.Or(controlErr, err); err != nil {
+		return 0, err
+	}
+	return count, nil
 }
 
 // isTimeout reports whether an error is an exceeded deadline.
