Hear discovery that takes longer for a call than the next call takes to come

Cause: a pushed watch that has brought nothing is opened again after half of the drain grace, and discovery.openWatch cancelled the call under way for it. A response that took longer was never read, and a replaced call reports nothing. Change: a later call ends no earlier one. The scheduler states with WatchEndpoints how long a call may take: one a second 4.5 s, the others until the next call. A call without a response is still reported after 1.2 s. Why it works: the rate of calls that an outage needs stays, and among them is always one that a slow service can answer; TestEndpointWatch_HearsSlowRegistry checks that over all times and up to 3 s a call, and that at most six wait at once.

--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -29,7 +29,7 @@
 	case scheduler.WriteLog:
 		l.shared.log.Info("scheduler message", keyText, action.Text)
 	case scheduler.WatchEndpoints:
-		l.drivers.Endpoints.Watch(action.On)
+		l.drivers.Endpoints.Watch(action)
 	case scheduler.FetchEndpoints:
 		l.drivers.Endpoints.Fetch()
 	}
--- a/internal/daemon/drivers.go
+++ b/internal/daemon/drivers.go
@@ -46,8 +46,8 @@
 // EndpointSource watches and fetches the endpoint list. EventLoop.ReceiveUpdate receives the updates,
 // EventLoop.ReportListFailure the failures.
 type EndpointSource interface {
-	// Watch starts or ends the watch.
-	Watch(on bool)
+	// Watch opens the watch, or ends it.
+	Watch(call scheduler.WatchEndpoints)
 	// Fetch fetches the changes since EventLoop.ListVersion, or the full list.
 	Fetch()
 	// FetchFull fetches the full list, after a change that could not be applied.
--- a/internal/daemon/stub_drivers_test.go
+++ b/internal/daemon/stub_drivers_test.go
@@ -23,7 +23,7 @@
 
 func (d *stubDrivers) CloseIdle(scheduler.Server) {}
 
-func (d *stubDrivers) Watch(bool) {}
+func (d *stubDrivers) Watch(scheduler.WatchEndpoints) {}
 
 func (d *stubDrivers) Fetch() {}
 
--- a/internal/platform/discovery_call.go
+++ b/internal/platform/discovery_call.go
@@ -7,25 +7,22 @@
 	"time"
 )
 
-// discoveryResponse is the response to a call. Reading it fails with errDiscoverySilent if no byte arrives
-// for silenceTimeout, and with errListTooLong if a message exceeds bytesLeft. It has one reader, which closes
-// it.
+// discoveryResponse is the response to a call. Reading it fails with errDiscoverySilent if the call's time is
+// over, and with errListTooLong if a message exceeds bytesLeft. It has one reader, which closes it.
 type discoveryResponse struct {
 	ctx            context.Context
 	cancel         func()
 	response       *http.Response
-	silenceTimeout time.Duration
-	silenceTimer   *time.Timer
-	bytesLeft      int // that the current message may still contain
+	timer          *time.Timer   // ends the call
+	silenceTimeout time.Duration // to which each byte resets timer; 0: bytes do not reset it
+	bytesLeft      int           // that the current message may still contain
 }
 
-// call starts a call. Its response must begin within discoveryCallTimeout; after that at most silenceTimeout
-// may pass without a byte.
-func (d *discovery) call(ctx context.Context, url string,
-	silenceTimeout time.Duration) (*discoveryResponse, error) {
+// call starts a call, which ends after timeout unless the reader of its response resets the timer.
+func (d *discovery) call(ctx context.Context, url string, timeout time.Duration) (*discoveryResponse, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c := &discoveryResponse{ctx: ctx, silenceTimeout: silenceTimeout, cancel: func() { cancel(nil) }}
-	c.silenceTimer = time.AfterFunc(discoveryCallTimeout, func() { cancel(errDiscoverySilent) })
+	c := &discoveryResponse{ctx: ctx, cancel: func() { cancel(nil) }}
+	c.timer = time.AfterFunc(timeout, func() { cancel(errDiscoverySilent) })
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err == nil {
 		c.response, err = d.client.Do(request)
@@ -35,7 +32,6 @@
 		c.close()
 		return nil, err
 	}
-	c.silenceTimer.Reset(silenceTimeout)
 	if c.response.StatusCode != http.StatusOK {
 		c.close()
 		return nil, fmt.Errorf("%w: %s", errUnexpectedStatus, c.response.Status)
@@ -47,7 +43,9 @@
 func (c *discoveryResponse) Read(buffer []byte) (int, error) {
 	n, err := c.response.Body.Read(buffer)
 	if n > 0 {
-		c.silenceTimer.Reset(c.silenceTimeout)
+		if c.silenceTimeout > 0 {
+			c.timer.Reset(c.silenceTimeout)
+		}
 		if c.bytesLeft -= n; c.bytesLeft < 0 {
 			return 0, errListTooLong
 		}
@@ -64,7 +62,7 @@
 }
 
 func (c *discoveryResponse) close() {
-	c.silenceTimer.Stop()
+	c.timer.Stop()
 	if c.response != nil {
 		c.response.Body.Close()
 	}
--- a/internal/platform/gateway.go
+++ b/internal/platform/gateway.go
@@ -154,7 +154,7 @@
 		select {
 		case <-ctx.Done():
 		case <-g.discovery.firstOutcome:
-		case <-time.After(discoveryCallTimeout):
+		case <-time.After(slowCallTime):
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -12,6 +12,7 @@
 
 	"landingpaddle/endpoints"
 	"landingpaddle/internal/proto"
+	"landingpaddle/scheduler"
 )
 
 const (
@@ -78,9 +79,10 @@
 	return &Client{cfg: cfg, commands: make(chan command, maxCommands)}
 }
 
-// Watch opens the watch, on which the registry sends updates, if on is true, and cancels it otherwise.
-func (c *Client) Watch(on bool) {
-	if on {
+// Watch opens the watch, on which the registry sends updates, or cancels it. All calls share one connection, on
+// which a later one does not end an earlier one, so the call's response timeout is not used.
+func (c *Client) Watch(call scheduler.WatchEndpoints) {
+	if call.On {
 		c.enqueue(watchOn)
 	} else {
 		c.enqueue(watchOff)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -84,7 +84,7 @@
 	r := startRegistry(t, ServerConfig{MaxWait: time.Second}, false, nil)
 	r.server.Put(endpoint(1, scheduler.Ready))
 	time.Sleep(50 * time.Millisecond) // until the registry has published the endpoint
-	r.client.Watch(true)
+	r.client.Watch(scheduler.WatchEndpoints{On: true})
 	if update := receive(t, r.updates); !update.Full || len(update.Endpoints) != 1 || update.Epoch != 9 {
 		t.Fatalf("first update: got %+v, want the full list of 1 endpoint in epoch 9", update)
 	}
@@ -97,7 +97,7 @@
 		update.Endpoints[0].Status != scheduler.Draining {
 		t.Errorf("change: got %+v, want a Draining endpoint and the previous version as base", update)
 	}
-	r.client.Watch(false)
+	r.client.Watch(scheduler.WatchEndpoints{})
 	time.Sleep(50 * time.Millisecond) // until the registry has received the cancellation
 	r.server.Put(endpoint(3, scheduler.Ready))
 	// The registry publishes a change from a timer: a fetch may be served before the change is published.
@@ -200,7 +200,7 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { _ = c.Run(ctx) })
 		if !push {
-			c.Watch(true)
+			c.Watch(scheduler.WatchEndpoints{On: true})
 		}
 		receive(t, errs)
 		if push {
--- a/scheduler/endpoint_watch.go
+++ b/scheduler/endpoint_watch.go
@@ -15,6 +15,13 @@
 	// reopenDelaysPerPushGrace is the number of minimum reopen delays that fit into PushGrace, so that the
 	// longest delay is half of it.
 	reopenDelaysPerPushGrace = 4
+	// WatchResponseTimeout is how long a registry that is slow may take to respond to a call. An instance counts
+	// as notified of a change 6 s after the registry could be reached, and until then a call must have been
+	// opened and have had this long.
+	WatchResponseTimeout = 4500 * time.Millisecond
+	// patientCallInterval is the minimum time between calls that wait for WatchResponseTimeout, so that few
+	// calls wait at once. The calls between them wait until the next call.
+	patientCallInterval = time.Second
 )
 
 // endpointWatch tracks the watch of the endpoint list.
@@ -23,6 +30,7 @@
 	reopenAt       time.Duration // when to reopen it unless an update arrives
 	reopenDelay    time.Duration // minimum delay after a failure
 	delayDivisor   time.Duration // divisor of the next delay; 0: the delay is not divided
+	nextPatientAt  time.Duration // from when a call may wait for WatchResponseTimeout again
 }
 
 func newEndpointWatch(settings Settings) endpointWatch {
@@ -33,9 +41,20 @@
 // openWatch opens the watch and schedules that it is reopened unless an update arrives within half of
 // PollTimeout, or within two reopen delays if those are longer: the registry's answer may be lost.
 func (s *Scheduler) openWatch() {
+	untilNextCall := max(s.settings.PollTimeout/2, 2*s.watch.reopenDelay)
 	s.watch.updateReceived = false
-	s.emit(WatchEndpoints{On: true})
-	s.scheduleWatch(max(s.settings.PollTimeout/2, 2*s.watch.reopenDelay))
+	s.emit(WatchEndpoints{On: true, ResponseTimeout: s.watch.responseTimeout(s.now, untilNextCall)})
+	s.scheduleWatch(untilNextCall)
+}
+
+// responseTimeout returns how long the next call waits for its response. The registry may have lost the call,
+// so another one follows soon; or it may be slow, so some calls wait for longer than that.
+func (w *endpointWatch) responseTimeout(now, untilNextCall time.Duration) time.Duration {
+	if now < w.nextPatientAt {
+		return min(untilNextCall, WatchResponseTimeout)
+	}
+	w.nextPatientAt = now + patientCallInterval
+	return WatchResponseTimeout
 }
 
 func (s *Scheduler) scheduleWatch(delay time.Duration) {
--- a/scheduler/endpoint_watch_test.go
+++ b/scheduler/endpoint_watch_test.go
@@ -14,8 +14,16 @@
 }
 
 // opensWatch reports whether actions open the watch of the endpoint list.
-func opensWatch(actions []Action) bool {
-	return slices.Contains(actions, Action(WatchEndpoints{On: true}))
+func opensWatch(actions []Action) bool { return len(responseTimeouts(actions)) > 0 }
+
+// responseTimeouts returns the response timeouts of the calls that actions open the watch with.
+func responseTimeouts(actions []Action) (timeouts []time.Duration) {
+	for _, action := range actions {
+		if watch, ok := action.(WatchEndpoints); ok && watch.On {
+			timeouts = append(timeouts, watch.ResponseTimeout)
+		}
+	}
+	return timeouts
 }
 
 // watchTimerDelays returns the delays of the timers among the actions that reopen the watch.
@@ -114,3 +122,83 @@
 		}
 	}
 }
+
+// watchCall is a call that opens the watch.
+type watchCall struct{ openedAt, timeout time.Duration }
+
+// callsToSilentRegistry returns the calls that an instance makes within a period in which it receives nothing.
+// Its driver reports each call that was not answered within silence.
+func callsToSilentRegistry(t *testing.T, settings Settings, period, silence time.Duration) (calls []watchCall) {
+	t.Helper()
+	const step = 5 * ms
+	driver := startDriver(t, settings, 1)
+	actions, reported := driver.actions, 0
+	for end := driver.now + period; driver.now < end; driver.now += step {
+		for _, timeout := range responseTimeouts(actions) {
+			calls = append(calls, watchCall{driver.now, timeout})
+		}
+		events := []Event{TimerFired{Token: tokenWatch}}
+		if reported < len(calls) && driver.now >= calls[reported].openedAt+min(silence, calls[reported].timeout) {
+			if calls[reported].timeout >= silence {
+				events = append(events, EndpointUpdate{Kind: UpdateFailed})
+			}
+			reported++
+		}
+		actions = driver.handle(events...)
+	}
+	return calls
+}
+
+// watchModes returns settings with lists that are pushed, with several drain graces, and polled.
+func watchModes() map[string]Settings {
+	modes := map[string]Settings{}
+	for _, grace := range []time.Duration{20 * ms, 250 * ms, time.Second, 5 * time.Second} {
+		settings := pollingSettings()
+		settings.DrainGrace, settings.PushGrace = grace, grace
+		modes["pushed, grace "+grace.String()] = settings
+	}
+	settings := pollingSettings()
+	settings.PollTimeout = 10 * time.Second
+	modes["polled"] = settings
+	return modes
+}
+
+// Guards against a registry that is never heard because it takes longer for each call than the instance waits
+// before it calls again. Whenever such a registry becomes reachable, a call that waits long enough is opened
+// early enough that its response arrives before the instance counts as notified.
+func TestEndpointWatch_HearsSlowRegistry(t *testing.T) {
+	const silence, notifiedWithin, period = 1200 * ms, 6 * time.Second, 30 * time.Second
+	for mode, settings := range watchModes() {
+		calls := callsToSilentRegistry(t, settings, period, silence)
+		for reachable := calls[0].openedAt; reachable < calls[0].openedAt+period/2; reachable += 35 * ms {
+			for latency := 50 * ms; latency <= notifiedWithin/2; latency += 50 * ms {
+				answered := slices.IndexFunc(calls, func(call watchCall) bool {
+					return call.openedAt >= reachable && call.timeout >= latency
+				})
+				if answered < 0 || calls[answered].openedAt+latency > reachable+notifiedWithin {
+					t.Fatalf("%s: reachable %v after the first call, %v for a call: got no response within %v",
+						mode, reachable-calls[0].openedAt, latency, notifiedWithin)
+				}
+			}
+		}
+	}
+}
+
+// However short the drain grace is, few calls wait for a response at once: each occupies a connection.
+func TestEndpointWatch_FewCallsWaitAtOnce(t *testing.T) {
+	const maxWaiting = 6
+	for mode, settings := range watchModes() {
+		calls := callsToSilentRegistry(t, settings, 30*time.Second, 1200*ms)
+		for i, last := range calls {
+			waiting := 0
+			for _, call := range calls[:i+1] {
+				if call.openedAt+call.timeout > last.openedAt {
+					waiting++
+				}
+			}
+			if waiting > maxWaiting {
+				t.Fatalf("%s: got %d calls waiting at once, want %d at most", mode, waiting, maxWaiting)
+			}
+		}
+	}
+}
