Refuse a write whose body may be longer than its stated length

Callers saw: a write whose Content-Length was too short was forwarded with the first part of its body and answered 200; the rest was answered 400 as a request of its own. Evidence: found by reading, then by three new cases of TestValidation_RefusesInvalidRequests, which failed before the change ("got 200 ..., want 400 and Connection: close"; three requests at the disk server). Change: the bytes that have arrived behind a body must begin a GET or a PUT, or be a part of such a begin. Pipelined requests stay as they are, and so do requests that state no body. trailingBytes serves both directions now.

--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -23,8 +23,11 @@
 // Buffered returns the number of bytes that were read but not yet consumed as part of a message.
 func (r *Reader) Buffered() int { return r.end - r.start }
 
-// Unread returns a copy of the bytes that were read but not yet consumed as part of a message.
-func (r *Reader) Unread() []byte { return bytes.Clone(r.buffer[r.start:r.end]) }
+// Unread returns a copy of the first bytes, at most limit, that were read but not yet consumed as part of a
+// message.
+func (r *Reader) Unread(limit int) []byte {
+	return bytes.Clone(r.buffer[r.start : r.start+min(limit, r.Buffered())])
+}
 
 // BufferSize returns the size of the buffer in bytes.
 func (r *Reader) BufferSize() int { return len(r.buffer) }
--- a/internal/http1/request.go
+++ b/internal/http1/request.go
@@ -58,6 +58,20 @@
 	}, nil
 }
 
+// CheckPipelined returns an *Error unless the bytes that follow a request's body on its connection may begin
+// another request of one of the methods, or there are none. Any other bytes may be the rest of a body whose
+// stated length is too short.
+func CheckPipelined(trailing []byte, methods ...string) error {
+	for _, method := range methods {
+		begin := method + " "
+		count := min(len(begin), len(trailing))
+		if string(trailing[:count]) == begin[:count] {
+			return nil
+		}
+	}
+	return errLengthDoubtful
+}
+
 // requestLine is the first line of a request.
 type requestLine struct{ method, target, version string }
 
--- a/internal/http1/request_test.go
+++ b/internal/http1/request_test.go
@@ -89,3 +89,17 @@
 		})
 	}
 }
+
+// Guards against taking a body with too short a stated length for a whole one: only the begin of a request may
+// follow a request's body.
+func TestCheckPipelined_AcceptsOnlyRequests(t *testing.T) {
+	for trailing, isAccepted := range map[string]bool{
+		"": true, "G": true, "PU": true, "GET ": true, "PUT /api HTTP/1.1\r\n": true,
+		" world": false, "GETS": false, "get ": false, "POST ": false, "\r\n": false, "\x00": false,
+	} {
+		err := CheckPipelined([]byte(trailing), "GET", "PUT")
+		if isAccepted != (err == nil) || err != nil && !hasStatus(t, err, 400) {
+			t.Errorf("%q: got %v, want accepted %v, else status 400", trailing, err, isAccepted)
+		}
+	}
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -116,7 +116,7 @@
 		a.reportInvalid(entry, err)
 		return attemptResult{code: scheduler.Reset}
 	}
-	trailing := connection.trailingBytes()
+	trailing := trailingBytes(connection.conn, connection.reader, maxUpstreamHead)
 	if len(trailing) > 0 {
 		a.pool.counters.unsolicited.Add(1)
 	}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -61,6 +61,9 @@
 		_, _ = client.conn.Write([]byte(continueResponse)) // if this fails, reading the body does too
 	}
 	body, err := client.reader.ReadBody(head.Length)
+	if err == nil {
+		err = checkPipelined(client)
+	}
 	if err != nil {
 		f.bodyBytes.Add(-head.Length)
 		return nil, err
@@ -68,6 +71,13 @@
 	return body, nil
 }
 
+// checkPipelined returns an error if the bytes behind a request's body cannot begin another request: the body
+// may be longer than its stated length, and the first part of it must not be written as the whole.
+func checkPipelined(client *clientConn) error {
+	trailing := trailingBytes(client.conn, client.reader, len(http.MethodGet+" "))
+	return http1.CheckPipelined(trailing, http.MethodGet, http.MethodPut)
+}
+
 // process submits a request to the loop and waits for its answer. If the client disconnects, it reports that
 // to the loop, which then ends the call. process reports whether the connection stays open.
 func (f *frontend) process(request *inFlightRequest) bool {
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"landingpaddle/internal/http1"
 )
 
 // wakeDeadline is a deadline in the past; setting it wakes a goroutine that reads from a connection.
@@ -40,6 +42,18 @@
 	return count, nil
 }
 
+// trailingBytes returns the first bytes, at most limit, that have arrived behind the messages that a reader has
+// read from a connection. It consumes none of them and does not wait for more.
+func trailingBytes(conn net.Conn, reader *http1.Reader, limit int) []byte {
+	trailing := reader.Unread(limit)
+	if len(trailing) == limit || isOpenAndEmpty(conn) {
+		return trailing
+	}
+	arrived := make([]byte, limit-len(trailing))
+	count, _ := peek(conn, arrived) // an error means that the connection broke: nothing more arrives
+	return append(trailing, arrived[:count]...)
+}
+
 // isTimeout reports whether an error is an exceeded deadline.
 func isTimeout(err error) bool {
 	var netError net.Error
--- a/internal/platform/upstream_conn.go
+++ b/internal/platform/upstream_conn.go
@@ -35,18 +35,6 @@
 	isUnused  bool      // no response has arrived on it yet
 }
 
-// trailingBytes returns the bytes that have arrived behind a response, up to a head's size of those that were
-// not read yet. It consumes none of them and does not wait for more.
-func (c *upstreamConn) trailingBytes() []byte {
-	trailing := c.reader.Unread()
-	if isOpenAndEmpty(c.conn) {
-		return trailing
-	}
-	arrived := make([]byte, maxUpstreamHead)
-	count, _ := peek(c.conn, arrived) // an error means that the connection broke: nothing more arrives
-	return append(trailing, arrived[:count]...)
-}
-
 // acquire takes an idle connection without unsolicited bytes from the pool: of those that have settled, the
 // one released last; nil if there is none. On a connection that has not settled, bytes that belong to no
 // request may still arrive and would be read as the next response.
--- a/internal/platform/validation_test.go
+++ b/internal/platform/validation_test.go
@@ -40,6 +40,13 @@
 			400},
 		"body too long": {strings.Replace(payText("a1", ""), "Length: 0",
 			"Length: 60000000", 1), 413},
+		// Guards against writing the first part of a body as the whole.
+		"body longer than stated": {strings.Replace(payText("a1", "hello world"), "Length: 11",
+			"Length: 5", 1), 400},
+		"long body longer than stated": {strings.Replace(payText("a1", strings.Repeat("x", 60_000)),
+			"Length: 60000", "Length: 30000", 1), 400},
+		"body one byte longer than stated": {strings.Replace(payText("a1", "hello"), "Length: 5",
+			"Length: 4", 1), 400},
 		"request smuggling": {strings.Replace(payText("a1", ""), "Length: 0",
 			"Length: 4\r\nTransfer-Encoding: chunked", 1) + "0\r\n\r\n" + valid, 400},
 		"head too long": {"GET /api HTTP/1.1\r\n" +
