Keep the addresses of a newer list when an older one comes after it

Callers would have seen: requests of a shard refused with connect failures from a minute after such a list on, until the next full one. Cause: addressTable.applyList recorded every list, while endpoints.View drops one that is older than the list held. A full list of an older version marked the newer one's servers as removed, and their entries were deleted a minute later; an older change replaced addresses. A fetch or a watch whose call waits for long makes such a list likelier. Change: the table knows the latest version that it was given; an older list only adds servers that it does not know. Measured: TestAddressTable_KeepsServersOfNewerList failed before the change for a full list and for a change, and passes; tests of platform pass.

--- a/internal/platform/address_table.go
+++ b/internal/platform/address_table.go
@@ -21,6 +21,7 @@
 type addressTable struct {
 	mu      sync.Mutex
 	entries map[scheduler.Server]addressEntry
+	version uint64 // the latest of the lists that were applied
 }
 
 // addressEntry is the table's entry of one disk server.
@@ -57,7 +58,8 @@
 }
 
 // applyList converts a list into an update and records its addresses. An invalid disk server is an error for
-// the whole list, which then changes nothing: servers missing from a partial list would count as removed.
+// the whole list, which then changes nothing: servers missing from a partial list would count as removed. A
+// list that is older than one applied before, because its call took longer, only adds unknown servers.
 func (t *addressTable) applyList(list List, baseVersion uint64, site *wire.Site) (endpoints.Update, error) {
 	update := endpoints.Update{Version: list.Generation, BaseVersion: baseVersion, Full: list.Reset}
 	t.mu.Lock()
@@ -74,16 +76,22 @@
 		update.Endpoints = append(update.Endpoints, endpoint)
 	}
 	now := time.Now()
-	listed := t.recordEndpoints(list.Instances, update.Endpoints, now)
-	t.expire(list.Reset, listed, now)
+	isOutdated := list.Generation < t.version
+	t.version = max(t.version, list.Generation)
+	listed := t.recordEndpoints(list.Instances, update.Endpoints, isOutdated, now)
+	t.expire(list.Reset && !isOutdated, listed, now)
 	return update, nil
 }
 
-// recordEndpoints records the addresses of a list and returns the servers in it. The caller holds t.mu.
-func (t *addressTable) recordEndpoints(instances []ListedServer, parsed []endpoints.Endpoint,
+// recordEndpoints records the addresses of a list, or only those of unknown servers, and returns the servers in
+// it. The caller holds t.mu.
+func (t *addressTable) recordEndpoints(instances []ListedServer, parsed []endpoints.Endpoint, onlyUnknown bool,
 	now time.Time) map[scheduler.Server]bool {
 	listed := map[scheduler.Server]bool{}
 	for i, endpoint := range parsed {
+		if _, known := t.entries[endpoint.Server]; known && onlyUnknown {
+			continue
+		}
 		entry := addressEntry{id: instances[i].ID, address: instances[i].HostPort, cell: endpoint.Cell}
 		if endpoint.Status == scheduler.Removed {
 			if existing, ok := t.entries[endpoint.Server]; ok {
--- a/internal/platform/address_table_test.go
+++ b/internal/platform/address_table_test.go
@@ -51,6 +51,39 @@
 	}
 }
 
+// Guards against losing the address of a listed disk server to an older list: a slow call may return a list
+// after a newer one was applied. The older one is stale for the scheduler, so it must not mark servers as
+// removed, whose addresses are deleted later, nor replace addresses.
+func TestAddressTable_KeepsServersOfNewerList(t *testing.T) {
+	for name, isFull := range map[string]bool{"full list": true, "change": false} {
+		t.Run(name, func(t *testing.T) {
+			table, site := newAddressTable(), testSite(t)
+			server := func(id, address, lifecycle string) ListedServer {
+				return ListedServer{ID: id, HostPort: address, Zone: "a", MachineType: "m", Lifecycle: lifecycle}
+			}
+			newer := List{Generation: 9, Reset: true, Instances: []ListedServer{
+				server("s-1", "127.0.0.1:1", "ready"), server("s-2", "127.0.0.1:2", "ready")}}
+			older := List{Generation: 8, Reset: isFull, Instances: []ListedServer{
+				server("s-1", "127.0.0.1:9", "ready"), server("s-3", "127.0.0.1:3", "ready")}}
+			if !isFull {
+				older.Instances = append(older.Instances, server("s-2", "127.0.0.1:2", "gone"))
+			}
+			for _, list := range []List{newer, older} {
+				if _, err := table.applyList(list, 0, site); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for id, address := range map[string]string{"s-1": "127.0.0.1:1", "s-2": "127.0.0.1:2",
+				"s-3": "127.0.0.1:3"} {
+				entry, known := table.find(serverOf(id))
+				if !known || entry.isRemoved() || entry.address != address {
+					t.Errorf("%s: got %+v, known %v; want it listed at %s", id, entry, known, address)
+				}
+			}
+		})
+	}
+}
+
 // A list with an id that has the hash of another id in the table is rejected as a whole.
 func TestAddressTable_RejectsHashCollision(t *testing.T) {
 	table, site := newAddressTable(), testSite(t)
