Test that a slow discovery service is heard after a reload

Change: TestReload_HearsSlowService, 1.5 s for a call, pushed and asked for, within the 4 s after SIGHUP. Measured: it failed in both cases on the text before ("got list version 8, want 9"), and passes.

--- a/internal/platform/slow_discovery_test.go
+++ b/internal/platform/slow_discovery_test.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// After a reload, a new discovery service that is slow is heard before the scheduler counts as notified of its
+// list.
+func TestReload_HearsSlowService(t *testing.T) {
+	for name, change := range map[string]func(string) string{"pushed": withPushedList(t), "asked for": nil} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			diskServer := newOKDiskServer(t)
+			list := listDocument(9, true, listedServer("s-0", diskServer, 0))
+			from := newScriptedDiscovery(t, watchWithMessage(listDocument(8, true)))
+			to := newScriptedDiscovery(t, afterDelay(1500*time.Millisecond, watchWithMessage(list)))
+			fixture := startGatewayAt(t, from.address(), diskServer, change)
+			fixture.awaitListVersion(8, time.Now().Add(eventualTimeout))
+			reloaded := time.Now()
+			fixture.gateway.Reload(parseTestConfig(t, to.address()))
+			fixture.awaitListVersion(9, reloaded.Add(notifiedAfterReload))
+		})
+	}
+}
+
 // Once a slow call is answered, its watch is the only one: the calls that wait behind it end, and no others
 // follow.
 func TestDiscovery_EndsWaitingCallsOnceOneIsAnswered(t *testing.T) {
