Report a failed call to discovery even if its slow timer has just fired

A watch call that fails in the moment in which its timer fires was taken for reported, while the timer's function found no waiting call and reported nothing; the scheduler would have called again only after half of its polling time. A fetch had the same gap. Change: whether a call was reported is a field under the lock, set where it is reported. Measured: TestDiscovery_ReportsFailureWhenSlowTimerHasFired fails if endWatch asks the timer instead, as it did; the tests of discovery, pushed lists and reloads pass under the race detector.

--- a/internal/platform/discovery_fetch.go
+++ b/internal/platform/discovery_fetch.go
@@ -12,12 +12,13 @@
 
 // fetchCall is a fetch of the full list that is in progress.
 type fetchCall struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	// slowTimer reports a fetch whose response has not begun within slowCallTime.
-	slowTimer *time.Timer
-	// isOutdated is set if another fetch was requested meanwhile: the list may be older than that request.
-	isOutdated bool // guarded by discovery.mu
+	ctx       context.Context
+	cancel    context.CancelFunc
+	slowTimer *time.Timer // reports the fetch if its response has not begun within slowCallTime
+
+	// The following fields are guarded by discovery.mu.
+	isReported bool // as failed
+	isOutdated bool // another fetch was requested meanwhile: the list may be older than that request
 }
 
 // Fetch requests the full list once. If a fetch is in progress, another one follows it.
@@ -39,54 +40,61 @@
 	fetch := &fetchCall{}
 	fetch.ctx, fetch.cancel = context.WithCancel(d.ctx)
 	d.fetch = fetch
-	fetch.slowTimer = time.AfterFunc(slowCallTime, func() {
-		if fetch.ctx.Err() == nil {
-			d.reportFailure(fmt.Errorf("fetch: %w", errDiscoverySilent))
-		}
-	})
+	fetch.slowTimer = time.AfterFunc(slowCallTime, func() { d.reportSlowFetch(fetch) })
 	address := d.address
 	d.calls.Go(func() {
 		defer fetch.cancel()
-		isSlow, err := d.fetchList(fetch, address)
-		if isReplaced := d.endFetch(fetch, err); err != nil && !isReplaced && !isSlow {
+		err := d.fetchList(fetch, address)
+		if d.endFetch(fetch, err) {
 			d.reportFailure(fmt.Errorf("fetch: %w", err))
 		}
 	})
 }
 
+// reportSlowFetch reports a fetch that is still in progress as failed, so that the scheduler calls again.
+func (d *discovery) reportSlowFetch(fetch *fetchCall) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fetch == fetch {
+		fetch.isReported = true
+		d.reportFailure(fmt.Errorf("fetch: %w", errDiscoverySilent))
+	}
+}
+
 // endFetch ends a fetch and starts the one that was requested meanwhile, unless discovery failed: then the
-// scheduler decides when to call again. It reports whether the fetch was replaced or the gateway ends.
-func (d *discovery) endFetch(fetch *fetchCall, err error) (isReplaced bool) {
+// scheduler decides when to call again. It returns whether a failure has to be reported: not if the fetch was
+// replaced or reported already, or the gateway ends.
+func (d *discovery) endFetch(fetch *fetchCall, err error) (mustReport bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if fetch.ctx.Err() != nil {
-		return true
+		return false
 	}
 	d.fetch = nil
-	if fetch.isOutdated && err == nil {
+	if err == nil && fetch.isOutdated {
 		d.startFetch()
 	}
-	return false
+	return err != nil && !fetch.isReported
 }
 
-// fetchList fetches the full list and applies it. It returns whether the fetch was reported as slow.
-func (d *discovery) fetchList(fetch *fetchCall, address string) (isSlow bool, err error) {
+// fetchList fetches the full list and applies it.
+func (d *discovery) fetchList(fetch *fetchCall, address string) error {
 	response, err := d.call(fetch.ctx, "http://"+address+pathServers, scheduler.WatchResponseTimeout)
-	isSlow = !fetch.slowTimer.Stop()
+	fetch.slowTimer.Stop()
 	if err != nil {
-		return isSlow, err
+		return err
 	}
 	defer response.close()
 	response.timer.Reset(transferTimeout)
 	response.bytesLeft = maxListBytes
 	document, err := io.ReadAll(response)
 	if err != nil {
-		return isSlow, err
+		return err
 	}
 	var list List
 	if err := json.Unmarshal(document, &list); err != nil {
-		return isSlow, err
+		return err
 	}
 	list.Reset = true // a fetch returns the full list, whatever the document states
-	return isSlow, d.applyList(list, 0)
+	return d.applyList(list, 0)
 }
--- a/internal/platform/discovery_watch.go
+++ b/internal/platform/discovery_watch.go
@@ -20,7 +20,8 @@
 	cancel          context.CancelFunc
 	address         string
 	responseTimeout time.Duration // until it is established
-	slowTimer       *time.Timer   // reports a call that is not established within slowCallTime
+	slowTimer       *time.Timer   // reports the call if it is not established within slowCallTime
+	isReported      bool          // as failed; guarded by discovery.mu
 }
 
 // Watch opens the watch, or ends it. An open watch ends once the new one is established, and calls that wait
@@ -66,9 +67,9 @@
 // reportSlow reports a call that still waits as failed, so that the scheduler calls again.
 func (d *discovery) reportSlow(call *watchCall) {
 	d.mu.Lock()
-	_, isWaiting := d.waiting[call]
-	d.mu.Unlock()
-	if isWaiting {
+	defer d.mu.Unlock()
+	if _, isWaiting := d.waiting[call]; isWaiting {
+		call.isReported = true
 		d.reportFailure(fmt.Errorf("watch: %w", errDiscoverySilent))
 	}
 }
@@ -88,7 +89,8 @@
 		return true
 	}
 	delete(d.waiting, call)
-	return !errors.Is(err, errDiscoverySilent) && call.slowTimer.Stop()
+	call.slowTimer.Stop()
+	return !errors.Is(err, errDiscoverySilent) && !call.isReported
 }
 
 // establish makes a call the open watch and ends all others. It reports false if the call itself was ended.
--- a/internal/platform/slow_discovery_test.go
+++ b/internal/platform/slow_discovery_test.go
@@ -152,3 +152,21 @@
 		t.Errorf("got %d fetches, want 2", got)
 	}
 }
+
+// Guards against a failure that nobody reports: a call fails just as its slow timer fires, which then finds that
+// the call has ended. The scheduler would call again only after half of its polling time.
+func TestDiscovery_ReportsFailureWhenSlowTimerHasFired(t *testing.T) {
+	discovery := newDiscovery(t.Context(), nil, nil, "", nil)
+	fired := make(chan struct{})
+	call := &watchCall{ctx: t.Context(), slowTimer: time.AfterFunc(0, func() { close(fired) })}
+	discovery.waiting[call] = struct{}{}
+	<-fired
+	if !discovery.endWatch(call, errWatchEnded) {
+		t.Error("got a failure that must not be reported, want one that must")
+	}
+	fetch := &fetchCall{ctx: t.Context(), slowTimer: time.AfterFunc(0, func() {})}
+	discovery.fetch = fetch
+	if !discovery.endFetch(fetch, errWatchEnded) {
+		t.Error("fetch: got a failure that must not be reported, want one that must")
+	}
+}
