--- a/internal/http1/request_test.go
+++ b/internal/http1/request_test.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// Guards against taking a body with too short a stated length for a whole one: only the begin of a request may
-// follow a request's body.
+// Guards against taking a body with too short a stated length for a whole one: only the begin of a request
+// may follow a request's body.
 func TestCheckPipelined_AcceptsOnlyRequests(t *testing.T) {
 	for trailing, isAccepted := range map[string]bool{
 		"": true, "G": true, "PU": true, "GET ": true, "PUT /api HTTP/1.1\r\n": true,
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -28,9 +28,9 @@
 	return response, nil
 }
 
-// CheckTrailing returns an *Error unless the bytes that follow a response on its connection leave no doubt that
-// the body is complete. Nothing may follow, or another response, such as a second copy, recognized by its
-// whole head. Any other bytes may be the rest of a body whose stated length is too short.
+// CheckTrailing returns an *Error unless the bytes that follow a response on its connection leave no doubt
+// that the body is complete. Nothing may follow, or another response, such as a second copy, recognized by
+// its whole head. Any other bytes may be the rest of a body whose stated length is too short.
 func CheckTrailing(trailing []byte) error {
 	if len(trailing) == 0 {
 		return nil
--- a/internal/platform/address_table.go
+++ b/internal/platform/address_table.go
@@ -83,10 +83,10 @@
 	return update, nil
 }
 
-// recordEndpoints records the addresses of a list, or only those of unknown servers, and returns the servers in
-// it. The caller holds t.mu.
-func (t *addressTable) recordEndpoints(instances []ListedServer, parsed []endpoints.Endpoint, onlyUnknown bool,
-	now time.Time) map[scheduler.Server]bool {
+// recordEndpoints records the addresses of a list, or only those of unknown servers, and returns the servers
+// in it. The caller holds t.mu.
+func (t *addressTable) recordEndpoints(instances []ListedServer, parsed []endpoints.Endpoint,
+	onlyUnknown bool, now time.Time) map[scheduler.Server]bool {
 	listed := map[scheduler.Server]bool{}
 	for i, endpoint := range parsed {
 		if _, known := t.entries[endpoint.Server]; known && onlyUnknown {
--- a/internal/platform/address_table_test.go
+++ b/internal/platform/address_table_test.go
@@ -59,7 +59,8 @@
 		t.Run(name, func(t *testing.T) {
 			table, site := newAddressTable(), testSite(t)
 			server := func(id, address, lifecycle string) ListedServer {
-				return ListedServer{ID: id, HostPort: address, Zone: "a", MachineType: "m", Lifecycle: lifecycle}
+				return ListedServer{ID: id, HostPort: address, Zone: "a", MachineType: "m",
+					Lifecycle: lifecycle}
 			}
 			newer := List{Generation: 9, Reset: true, Instances: []ListedServer{
 				server("s-1", "127.0.0.1:1", "ready"), server("s-2", "127.0.0.1:2", "ready")}}
--- a/internal/platform/attempt_length_test.go
+++ b/internal/platform/attempt_length_test.go
@@ -54,7 +54,7 @@
 			"01\r\n0\r\n\r\n2\r\n23\r\n0\r\n\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			spoilt := map[string]bool{"read": true, "write": true, "pay": true} // ids of the next spoilt answers
+			spoilt := map[string]bool{"read": true, "write": true, "pay": true} // next answers, by id
 			diskServer := newFakeDiskServer(t, func(_ int, request *receivedRequest) []byte {
 				id := request.field(fieldID)
 				if !spoilt[id] {
@@ -77,8 +77,8 @@
 				status, _, body := client.readAnswer()
 				if sends := sendsOf(diskServer, test.id); status != test.status || sends != test.sends ||
 					status == 200 && body != "ok" {
-					t.Errorf("%s: got %d %.40q after %d sends, want %d after %d", test.id, status, body, sends,
-						test.status, test.sends)
+					t.Errorf("%s: got %d %.40q after %d sends, want %d after %d", test.id, status, body,
+						sends, test.status, test.sends)
 				}
 			}
 		})
--- a/internal/platform/discovery_watch.go
+++ b/internal/platform/discovery_watch.go
@@ -13,8 +13,8 @@
 	"landingpaddle/scheduler"
 )
 
-// watchCall is one call for the watch of the endpoint list. It waits until discovery's response shows that the
-// watch is established, and then replaces all older calls.
+// watchCall is one call for the watch of the endpoint list. It waits until discovery's response shows that
+// the watch is established, and then replaces all older calls.
 type watchCall struct {
 	ctx             context.Context
 	cancel          context.CancelFunc
--- a/internal/platform/slow_discovery_test.go
+++ b/internal/platform/slow_discovery_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// After a reload, a new discovery service that is slow is heard before the scheduler counts as notified of its
-// list.
+// After a reload, a new discovery service that is slow is heard before the scheduler counts as notified of
+// its list.
 func TestReload_HearsSlowService(t *testing.T) {
 	for name, change := range map[string]func(string) string{"pushed": withPushedList(t), "asked for": nil} {
 		t.Run(name, func(t *testing.T) {
@@ -100,7 +100,8 @@
 		if n == 0 {
 			writeMessage(connection, listDocument(8, true, listedServer("s-0", diskServer, 0)))
 			<-change
-			io.WriteString(connection, chunk(listDocument(9, false, drainingServer("s-0", diskServer, 0))+"\n"))
+			message := listDocument(9, false, drainingServer("s-0", diskServer, 0))
+			io.WriteString(connection, chunk(message+"\n"))
 		} else if n == 1 {
 			close(opened)
 		}
@@ -153,8 +154,8 @@
 	}
 }
 
-// Guards against a failure that nobody reports: a call fails just as its slow timer fires, which then finds that
-// the call has ended. The scheduler would call again only after half of its polling time.
+// Guards against a failure that nobody reports: a call fails just as its slow timer fires, which then finds
+// that the call has ended. The scheduler would call again only after half of its polling time.
 func TestDiscovery_ReportsFailureWhenSlowTimerHasFired(t *testing.T) {
 	discovery := newDiscovery(t.Context(), nil, nil, "", nil)
 	fired := make(chan struct{})
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -42,8 +42,8 @@
 	return count, nil
 }
 
-// trailingBytes returns the first bytes, at most limit, that have arrived behind the messages that a reader has
-// read from a connection. It consumes none of them and does not wait for more.
+// trailingBytes returns the first bytes, at most limit, that have arrived behind the messages that a reader
+// has read from a connection. It consumes none of them and does not wait for more.
 func trailingBytes(conn net.Conn, reader *http1.Reader, limit int) []byte {
 	trailing := reader.Unread(limit)
 	if len(trailing) == limit || isOpenAndEmpty(conn) {
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -79,8 +79,8 @@
 	return &Client{cfg: cfg, commands: make(chan command, maxCommands)}
 }
 
-// Watch opens the watch, on which the registry sends updates, or cancels it. All calls share one connection, on
-// which a later one does not end an earlier one, so the call's response timeout is not used.
+// Watch opens the watch, on which the registry sends updates, or cancels it. All calls share one connection,
+// on which a later one does not end an earlier one, so the call's response timeout is not used.
 func (c *Client) Watch(call scheduler.WatchEndpoints) {
 	if call.On {
 		c.enqueue(watchOn)
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -54,8 +54,8 @@
 // WriteLog writes a line to the log of the instance.
 type WriteLog struct{ Text string }
 
-// WatchEndpoints opens (On) or closes the watch of the endpoint list. An open watch, and calls that still wait
-// for a response, end only once a newer call is established.
+// WatchEndpoints opens (On) or closes the watch of the endpoint list. An open watch, and calls that still
+// wait for a response, end only once a newer call is established.
 type WatchEndpoints struct {
 	On              bool
 	ResponseTimeout time.Duration // until the call is established; after that it is given up
--- a/scheduler/endpoint_watch.go
+++ b/scheduler/endpoint_watch.go
@@ -15,9 +15,9 @@
 	// reopenDelaysPerPushGrace is the number of minimum reopen delays that fit into PushGrace, so that the
 	// longest delay is half of it.
 	reopenDelaysPerPushGrace = 4
-	// WatchResponseTimeout is how long a registry that is slow may take to respond to a call. An instance counts
-	// as notified of a change 6 s after the registry could be reached, and until then a call must have been
-	// opened and have had this long.
+	// WatchResponseTimeout is how long a registry that is slow may take to respond to a call. An instance
+	// counts as notified of a change 6 s after the registry could be reached, and until then a call must have
+	// been opened and have had this long.
 	WatchResponseTimeout = 4500 * time.Millisecond
 	// patientCallInterval is the minimum time between calls that wait for WatchResponseTimeout, so that few
 	// calls wait at once. The calls between them wait until the next call.
--- a/scheduler/endpoint_watch_test.go
+++ b/scheduler/endpoint_watch_test.go
@@ -126,9 +126,10 @@
 // watchCall is a call that opens the watch.
 type watchCall struct{ openedAt, timeout time.Duration }
 
-// callsToSilentRegistry returns the calls that an instance makes within a period in which it receives nothing.
-// Its driver reports each call that was not answered within silence.
-func callsToSilentRegistry(t *testing.T, settings Settings, period, silence time.Duration) (calls []watchCall) {
+// callsToSilentRegistry returns the calls that an instance makes within a period in which it receives
+// nothing. Its driver reports each call that was not answered within silence.
+func callsToSilentRegistry(t *testing.T, settings Settings,
+	period, silence time.Duration) (calls []watchCall) {
 	t.Helper()
 	const step = 5 * ms
 	driver := startDriver(t, settings, 1)
@@ -138,11 +139,14 @@
 			calls = append(calls, watchCall{driver.now, timeout})
 		}
 		events := []Event{TimerFired{Token: tokenWatch}}
-		if reported < len(calls) && driver.now >= calls[reported].openedAt+min(silence, calls[reported].timeout) {
-			if calls[reported].timeout >= silence {
-				events = append(events, EndpointUpdate{Kind: UpdateFailed})
+		if reported < len(calls) {
+			call := calls[reported]
+			if driver.now >= call.openedAt+min(silence, call.timeout) {
+				reported++
+				if call.timeout >= silence {
+					events = append(events, EndpointUpdate{Kind: UpdateFailed})
+				}
 			}
-			reported++
 		}
 		actions = driver.handle(events...)
 	}
@@ -176,8 +180,8 @@
 					return call.openedAt >= reachable && call.timeout >= latency
 				})
 				if answered < 0 || calls[answered].openedAt+latency > reachable+notifiedWithin {
-					t.Fatalf("%s: reachable %v after the first call, %v for a call: got no response within %v",
-						mode, reachable-calls[0].openedAt, latency, notifiedWithin)
+					t.Fatalf("%s: reachable %v after the first call, %v for a call: got no response "+
+						"within %v", mode, reachable-calls[0].openedAt, latency, notifiedWithin)
 				}
 			}
 		}
