One type for calls to discovery: how a slow call is reported stood twice

A call for the watch and a fetch each had a context, a timer, a flag and a function of their own that report a call without a response; the two functions had the same shape. The comment of ResponseTimeout says what ends when; nextPatientAt and patientCallInterval are named after long calls. Behaviour stays; the tests keep their assertions, and the one that builds such calls by hand builds them by the new type. Looked at and left: trailingBytes looks at the socket again when something is there, so that no answer pays for a buffer; the address table repeats the view's comparison of versions, as it has to be current before the loop applies a list.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -50,9 +51,9 @@
 	mu             sync.Mutex
 	address        string // host:port
 	isWatchEnabled bool
-	established    *watchCall              // the open watch; nil: none
-	waiting        map[*watchCall]struct{} // calls that are not established yet
-	fetch          *fetchCall              // in progress; nil: none
+	established    *discoveryCall              // the open watch; nil: none
+	waiting        map[*discoveryCall]struct{} // calls for the watch that are not established yet
+	fetch          *fetchCall                  // in progress; nil: none
 }
 
 var _ daemon.EndpointSource = (*discovery)(nil)
@@ -63,7 +64,7 @@
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHead}}
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &discovery{ctx: ctx, loop: loop, site: site, address: address, addresses: addresses,
-		client: client, firstOutcome: make(chan struct{}), waiting: map[*watchCall]struct{}{}}
+		client: client, firstOutcome: make(chan struct{}), waiting: map[*discoveryCall]struct{}{}}
 }
 
 // MoveTo directs all further calls to another address. Requests to the old address are sent again to the new
@@ -99,8 +100,8 @@
 	return nil
 }
 
-func (d *discovery) reportFailure(err error) {
-	d.loop.ReportListFailure(err)
+func (d *discovery) reportFailure(call *discoveryCall, err error) {
+	d.loop.ReportListFailure(fmt.Errorf("%s: %w", call.purpose, err))
 	d.markFirstOutcome()
 }
 
--- a/internal/platform/discovery_call.go
+++ b/internal/platform/discovery_call.go
@@ -7,6 +7,44 @@
 	"time"
 )
 
+// discoveryCall is a call to discovery, for the watch or for a fetch. If it has no response within
+// slowCallTime, it is reported as failed, and goes on.
+type discoveryCall struct {
+	ctx       context.Context
+	cancel    context.CancelFunc
+	purpose   string // prefix of its errors
+	slowTimer *time.Timer
+
+	// The following fields are guarded by discovery.mu.
+	isWaiting  bool // for a response
+	isReported bool // as failed
+}
+
+// newCall returns a call, whose time counts from now.
+func (d *discovery) newCall(purpose string) *discoveryCall {
+	call := &discoveryCall{purpose: purpose, isWaiting: true}
+	call.ctx, call.cancel = context.WithCancel(d.ctx)
+	call.slowTimer = time.AfterFunc(slowCallTime, func() { d.reportSlow(call) })
+	return call
+}
+
+// reportSlow reports a call without a response as failed, so that the scheduler calls again.
+func (d *discovery) reportSlow(call *discoveryCall) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if call.isWaiting && call.ctx.Err() == nil {
+		call.isReported = true
+		d.reportFailure(call, errDiscoverySilent)
+	}
+}
+
+// stopWaiting records that discovery has responded to a call or that the call has ended, so that it is not
+// reported as slow any more. The caller holds discovery.mu.
+func (call *discoveryCall) stopWaiting() {
+	call.isWaiting = false
+	call.slowTimer.Stop()
+}
+
 // discoveryResponse is the response to a call. Reading it fails with errDiscoverySilent if the call's time is
 // over, and with errListTooLong if a message exceeds bytesLeft. It has one reader, which closes it.
 type discoveryResponse struct {
--- a/internal/platform/discovery_fetch.go
+++ b/internal/platform/discovery_fetch.go
@@ -1,24 +1,17 @@
 package platform
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"io"
-	"time"
 
 	"landingpaddle/scheduler"
 )
 
 // fetchCall is a fetch of the full list that is in progress.
 type fetchCall struct {
-	ctx       context.Context
-	cancel    context.CancelFunc
-	slowTimer *time.Timer // reports the fetch if its response has not begun within slowCallTime
-
-	// The following fields are guarded by discovery.mu.
-	isReported bool // as failed
-	isOutdated bool // another fetch was requested meanwhile: the list may be older than that request
+	*discoveryCall
+	// isOutdated is set if another fetch was requested meanwhile: the list may be older than that request.
+	isOutdated bool // guarded by discovery.mu
 }
 
 // Fetch requests the full list once. If a fetch is in progress, another one follows it.
@@ -37,36 +30,25 @@
 
 // startFetch requests the full list. The caller holds d.mu.
 func (d *discovery) startFetch() {
-	fetch := &fetchCall{}
-	fetch.ctx, fetch.cancel = context.WithCancel(d.ctx)
+	fetch := &fetchCall{discoveryCall: d.newCall("fetch")}
 	d.fetch = fetch
-	fetch.slowTimer = time.AfterFunc(slowCallTime, func() { d.reportSlowFetch(fetch) })
 	address := d.address
 	d.calls.Go(func() {
 		defer fetch.cancel()
 		err := d.fetchList(fetch, address)
 		if d.endFetch(fetch, err) {
-			d.reportFailure(fmt.Errorf("fetch: %w", err))
+			d.reportFailure(fetch.discoveryCall, err)
 		}
 	})
 }
 
-// reportSlowFetch reports a fetch that is still in progress as failed, so that the scheduler calls again.
-func (d *discovery) reportSlowFetch(fetch *fetchCall) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.fetch == fetch {
-		fetch.isReported = true
-		d.reportFailure(fmt.Errorf("fetch: %w", errDiscoverySilent))
-	}
-}
-
 // endFetch ends a fetch and starts the one that was requested meanwhile, unless discovery failed: then the
 // scheduler decides when to call again. It returns whether a failure has to be reported: not if the fetch was
 // replaced or reported already, or the gateway ends.
 func (d *discovery) endFetch(fetch *fetchCall, err error) (mustReport bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	fetch.stopWaiting()
 	if fetch.ctx.Err() != nil {
 		return false
 	}
@@ -80,11 +62,13 @@
 // fetchList fetches the full list and applies it.
 func (d *discovery) fetchList(fetch *fetchCall, address string) error {
 	response, err := d.call(fetch.ctx, "http://"+address+pathServers, scheduler.WatchResponseTimeout)
-	fetch.slowTimer.Stop()
 	if err != nil {
 		return err
 	}
 	defer response.close()
+	d.mu.Lock()
+	fetch.stopWaiting()
+	d.mu.Unlock()
 	response.timer.Reset(transferTimeout)
 	response.bytesLeft = maxListBytes
 	document, err := io.ReadAll(response)
--- a/internal/platform/slow_discovery_test.go
+++ b/internal/platform/slow_discovery_test.go
@@ -159,13 +159,14 @@
 func TestDiscovery_ReportsFailureWhenSlowTimerHasFired(t *testing.T) {
 	discovery := newDiscovery(t.Context(), nil, nil, "", nil)
 	fired := make(chan struct{})
-	call := &watchCall{ctx: t.Context(), slowTimer: time.AfterFunc(0, func() { close(fired) })}
+	call := &discoveryCall{ctx: t.Context(), slowTimer: time.AfterFunc(0, func() { close(fired) })}
 	discovery.waiting[call] = struct{}{}
 	<-fired
 	if !discovery.endWatch(call, errWatchEnded) {
 		t.Error("got a failure that must not be reported, want one that must")
 	}
-	fetch := &fetchCall{ctx: t.Context(), slowTimer: time.AfterFunc(0, func() {})}
+	fetch := &fetchCall{discoveryCall: &discoveryCall{ctx: t.Context(),
+		slowTimer: time.AfterFunc(0, func() {})}}
 	discovery.fetch = fetch
 	if !discovery.endFetch(fetch, errWatchEnded) {
 		t.Error("fetch: got a failure that must not be reported, want one that must")
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -58,7 +58,7 @@
 // wait for a response, end only once a newer call is established.
 type WatchEndpoints struct {
 	On              bool
-	ResponseTimeout time.Duration // until the call is established; after that it is given up
+	ResponseTimeout time.Duration // within which the call must be established, else it is given up
 }
 
 // FetchEndpoints requests the full endpoint list once.
--- a/scheduler/endpoint_watch.go
+++ b/scheduler/endpoint_watch.go
@@ -19,9 +19,9 @@
 	// counts as notified of a change 6 s after the registry could be reached, and until then a call must have
 	// been opened and have had this long.
 	WatchResponseTimeout = 4500 * time.Millisecond
-	// patientCallInterval is the minimum time between calls that wait for WatchResponseTimeout, so that few
+	// longCallInterval is the minimum time between calls that wait for WatchResponseTimeout, so that few
 	// calls wait at once. The calls between them wait until the next call.
-	patientCallInterval = time.Second
+	longCallInterval = time.Second
 )
 
 // endpointWatch tracks the watch of the endpoint list.
@@ -30,7 +30,7 @@
 	reopenAt       time.Duration // when to reopen it unless an update arrives
 	reopenDelay    time.Duration // minimum delay after a failure
 	delayDivisor   time.Duration // divisor of the next delay; 0: the delay is not divided
-	nextPatientAt  time.Duration // from when a call may wait for WatchResponseTimeout again
+	nextLongCallAt time.Duration // from when a call may wait for WatchResponseTimeout again
 }
 
 func newEndpointWatch(settings Settings) endpointWatch {
@@ -50,10 +50,10 @@
 // responseTimeout returns how long the next call waits for its response. The registry may have lost the call,
 // so another one follows soon; or it may be slow, so some calls wait for longer than that.
 func (w *endpointWatch) responseTimeout(now, untilNextCall time.Duration) time.Duration {
-	if now < w.nextPatientAt {
+	if now < w.nextLongCallAt {
 		return min(untilNextCall, WatchResponseTimeout)
 	}
-	w.nextPatientAt = now + patientCallInterval
+	w.nextLongCallAt = now + longCallInterval
 	return WatchResponseTimeout
 }
 
