Count a request's time from its arrival, not from when a goroutine read it

What callers saw: a request that lay unread while the process was delayed was given its whole budget anew once it was read. The disk server was told more time than the client still waited. A pipelined request whose last byte came long after its first was treated the other way: its time counted from its first byte, so it was rejected while its client still waited.

Cause: the frontend took the clock when a session's goroutine returned from a read (bufferedAt), and one time for all bytes that were buffered together.

Fix: package arrival has the kernel record when each segment arrived (SO_TIMESTAMPNS on the listening socket, so that connections that are not accepted yet have it too) and reads with recvmsg. http1.Reader records which byte arrived when, and tells it for the last byte of a message. The time is converted to the monotonic clock and kept within what the connection itself saw, as the wall clock may be set. A system that doesn't record times falls back to the time of reading.

ReadCount had no other use and is gone; the test that used it counts the reads of its source itself.

--- /dev/null
+++ b/internal/arrival/conn.go
@@ -0,0 +1,175 @@
+package arrival
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Conn is a TCP connection that tells when the data read from it arrived. Only one goroutine may call Read at
+// a time; all other methods may be called from any goroutine.
+type Conn struct {
+	net.Conn
+	raw     syscall.RawConn
+	receive func(descriptor uintptr) (done bool) // c.receiveInto, stored to be allocated once
+	base    time.Time                            // lastArrival counts from it
+
+	// Used by Read only.
+	buffer       []byte // into which Read reads
+	control      [controlSize]byte
+	received     received
+	emptyAt      time.Time // when Read last found nothing to read; zero: never
+	isUnrecorded bool      // the system does not provide times of arrival
+
+	lastArrival atomic.Int64 // nanoseconds since base
+	isUnhandled atomic.Bool  // data may have been read on which the reader has not finished its work
+}
+
+// received is the result of one system call that reads.
+type received struct {
+	count        int // bytes of data
+	controlCount int // bytes of control messages
+	err          error
+}
+
+func newConn(tcp *net.TCPConn) (*Conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	now := time.Now()
+	c := &Conn{Conn: tcp, raw: raw, base: now}
+	c.receive = c.receiveInto
+	return c, nil
+}
+
+// SyscallConn returns the raw connection.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+
+// CloseWrite shuts down the sending side of the connection.
+func (c *Conn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
+// Read reads data as net.Conn specifies, and records when the last byte of it arrived.
+func (c *Conn) Read(buffer []byte) (int, error) {
+	if len(buffer) == 0 {
+		return 0, nil
+	}
+	c.buffer = buffer
+	err := c.raw.Read(c.receive)
+	c.buffer = nil
+	if err == nil {
+		err = c.received.failure(c.Conn)
+	}
+	if err != nil {
+		c.isUnhandled.Store(false) // no message can be completed any more
+		return 0, err
+	}
+	c.recordArrival(time.Now())
+	return c.received.count, nil
+}
+
+// failure returns the error of a system call that brought no data; nil if it brought some.
+func (r received) failure(conn net.Conn) error {
+	switch {
+	case r.err != nil:
+		return &net.OpError{Op: "read", Net: conn.LocalAddr().Network(), Source: conn.LocalAddr(),
+			Addr: conn.RemoteAddr(), Err: os.NewSyscallError("recvmsg", r.err)}
+	case r.count == 0:
+		return io.EOF
+	}
+	return nil
+}
+
+// receiveInto reads once without waiting. It reports false if there is nothing to read.
+func (c *Conn) receiveInto(descriptor uintptr) (done bool) {
+	c.isUnhandled.Store(true) // before the data disappears from the socket
+	for {
+		c.received = c.receiveOnce(int(descriptor))
+		switch {
+		case errors.Is(c.received.err, syscall.EINTR):
+		case errors.Is(c.received.err, syscall.EAGAIN):
+			c.emptyAt = time.Now()
+			c.isUnhandled.Store(false)
+			return false
+		case !c.isUnrecorded && isUnsupported(c.received.err):
+			c.isUnrecorded = true
+		default:
+			return true
+		}
+	}
+}
+
+func (c *Conn) receiveOnce(descriptor int) (r received) {
+	if c.isUnrecorded {
+		r.count, r.err = syscall.Read(descriptor, c.buffer)
+		return r
+	}
+	r.count, r.controlCount, _, _, r.err = syscall.Recvmsg(descriptor, c.buffer, c.control[:], 0)
+	return r
+}
+
+// isUnsupported reports whether a system call failed because the system does not provide it for the socket.
+func isUnsupported(err error) bool {
+	return errors.Is(err, syscall.ENOSYS) || errors.Is(err, syscall.EOPNOTSUPP)
+}
+
+// recordArrival records when the last byte of the data just read arrived.
+func (c *Conn) recordArrival(now time.Time) {
+	at := now
+	if recordedAt, ok := parseTimestamp(c.control[:c.received.controlCount]); ok {
+		at = clampArrival(recordedAt, c.emptyAt, now)
+	}
+	c.lastArrival.Store(int64(at.Sub(c.base)))
+}
+
+// clampArrival converts a time of the kernel's wall clock into one with a monotonic reading, which is not
+// after now. It is not before emptyAt either, as the wall clock may have been set since the arrival.
+func clampArrival(recordedAt, emptyAt, now time.Time) time.Time {
+	age := max(0, now.Sub(recordedAt))
+	if !emptyAt.IsZero() {
+		age = min(age, now.Sub(emptyAt))
+	}
+	return now.Add(-age)
+}
+
+// LastArrival returns when the last byte of the data read last arrived, with a monotonic reading. Before the
+// first read it is when the connection was accepted.
+func (c *Conn) LastArrival() time.Time { return c.base.Add(time.Duration(c.lastArrival.Load())) }
+
+// FinishHandling states that the work on all data read so far is finished. Without it, the work counts as
+// finished once Read finds nothing more to read.
+func (c *Conn) FinishHandling() { c.isUnhandled.Store(false) }
+
+// HasUnhandled reports whether data that arrived before the given time may be unread, or may have been read
+// by a goroutine that has not finished its work on it.
+func (c *Conn) HasUnhandled(before time.Time) bool {
+	// The order matters: data that is read after the first check is found by the second.
+	return c.hasUnread(before) || c.isUnhandled.Load() && c.LastArrival().Before(before)
+}
+
+// hasUnread reports whether the socket holds data, the last byte of which arrived before the given time.
+func (c *Conn) hasUnread(before time.Time) (unread bool) {
+	err := c.raw.Control(func(descriptor uintptr) {
+		var peeked [1]byte
+		count, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && count > 0 && lastReceived(int(descriptor)).Before(before)
+	})
+	return err == nil && unread
+}
+
+// lastReceived returns when a socket last received data, to the kernel's tick; the zero time if that is not
+// known.
+func lastReceived(descriptor int) time.Time {
+	info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.Now().Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/arrival/listener.go
@@ -0,0 +1,68 @@
+package arrival
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Listener accepts TCP connections on which the kernel records times of arrival.
+type Listener struct {
+	tcp *net.TCPListener
+	raw syscall.RawConn
+}
+
+var _ net.Listener = (*Listener)(nil)
+
+// Listen listens on a TCP address. If the kernel does not record times of arrival, data counts as having
+// arrived when it is read.
+func Listen(network, address string) (*Listener, error) {
+	config := net.ListenConfig{Control: recordArrivals}
+	listener, err := config.Listen(context.Background(), network, address)
+	if err != nil {
+		return nil, err
+	}
+	tcp := listener.(*net.TCPListener)
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	return &Listener{tcp: tcp, raw: raw}, nil
+}
+
+// recordArrivals makes the kernel record times of arrival. Accepted connections inherit the setting.
+func recordArrivals(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		// Without the setting, Conn falls back to the time of reading.
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
+	})
+}
+
+// Accept returns the next connection, which is a *Conn.
+func (l *Listener) Accept() (net.Conn, error) {
+	tcp, err := l.tcp.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return newConn(tcp)
+}
+
+// Close stops listening. Connections that were accepted stay open.
+func (l *Listener) Close() error { return l.tcp.Close() }
+
+// Addr returns the address on which the listener listens.
+func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
+
+// HasPending reports whether established connections wait to be accepted.
+func (l *Listener) HasPending() bool {
+	descriptors := []unix.PollFd{{Events: unix.POLLIN}}
+	ready := 0
+	err := l.raw.Control(func(descriptor uintptr) {
+		descriptors[0].Fd = int32(descriptor)
+		ready, _ = unix.Poll(descriptors, 0) // an error leaves ready at 0 or less
+	})
+	return err == nil && ready > 0
+}
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -14,7 +14,7 @@
 type Call struct {
 	Responder  Responder
 	Request    scheduler.Request // the loop sets ID and ExpiresAt
-	ReceivedAt time.Duration     // when the request was read, by the scheduler's clock
+	ReceivedAt time.Duration     // when its last byte arrived, by the scheduler's clock
 	Timeout    time.Duration     // how long the client waits, counted from ReceivedAt
 	Token      uint64            // identifies the call in logs
 	Range      *extent.Range     // bytes of a ranged request; nil: not ranged
--- a/internal/daemon/event_loop.go
+++ b/internal/daemon/event_loop.go
@@ -131,6 +131,9 @@
 // Now returns the time of the scheduler's clock.
 func (e *EventLoop) Now() time.Duration { return clockStart + time.Since(e.startedAt) }
 
+// TimeOf returns a time with a monotonic reading as a time of the scheduler's clock.
+func (e *EventLoop) TimeOf(at time.Time) time.Duration { return clockStart + at.Sub(e.startedAt) }
+
 // clock returns the times of the scheduler's clock and of the wall clock.
 func (e *EventLoop) clock() endpoints.Clock {
 	return endpoints.Clock{Now: e.Now(), Wall: time.Now().UnixNano()}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -17,10 +17,10 @@
 	if count == len(body) {
 		return body, nil
 	}
-	r.readCount++
 	if _, err := io.ReadFull(r.source, body[count:]); err != nil {
 		return nil, unexpectedEOF(err)
 	}
+	r.arrivals.record(len(body) - count)
 	return body, nil
 }
 
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"time"
 )
 
 // Reader reads messages from one connection. Its buffer contains heads and the bytes that were received
@@ -12,12 +13,13 @@
 	limits     Limits
 	buffer     []byte
 	start, end int // bounds of the bytes in buffer that were read but not consumed
-	readCount  int
+	arrivals   arrivalLog
 }
 
-// NewReader returns a Reader that reads from source.
+// NewReader returns a Reader that reads from source. ConsumedAt needs an ArrivalSource.
 func NewReader(source io.Reader, limits Limits) *Reader {
-	return &Reader{source: source, limits: limits}
+	recorded, _ := source.(ArrivalSource)
+	return &Reader{source: source, limits: limits, arrivals: arrivalLog{source: recorded}}
 }
 
 // Buffered returns the number of bytes that were read but not yet consumed as part of a message.
@@ -32,9 +34,10 @@
 // BufferSize returns the size of the buffer in bytes.
 func (r *Reader) BufferSize() int { return len(r.buffer) }
 
-// ReadCount returns how many times the source was read, where the reads of one body count as one and Discard
-// does not count. If it does not change while a message is read, the whole message was already buffered.
-func (r *Reader) ReadCount() int { return r.readCount }
+// ConsumedAt returns when the last byte arrived that was consumed as part of a message; the zero time if that
+// is not known, or since Shrink. A byte that was read together with later ones counts as having arrived with
+// them.
+func (r *Reader) ConsumedAt() time.Time { return r.arrivals.timeOf(r.Buffered()) }
 
 // ReadAhead blocks until it has read more bytes into the buffer. It buffers up to maxBuffered bytes, or
 // Limits.MaxHead if that is more; at this limit it returns ErrBufferFull. An error of the source is returned
@@ -55,6 +58,7 @@
 func (r *Reader) Shrink() {
 	if r.start == r.end {
 		r.buffer, r.start, r.end = nil, 0, 0
+		r.arrivals.release()
 	}
 }
 
@@ -84,9 +88,9 @@
 		return err
 	}
 	count, err := r.source.Read(r.buffer[r.end:])
-	r.readCount++
 	r.end += count
 	if count > 0 {
+		r.arrivals.record(count)
 		return nil // an error returned together with bytes is returned again by the next read
 	}
 	if err == nil {
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -39,10 +39,7 @@
 	isLingering    bool // counted as lingering, not among the open connections
 	hasPipelined   bool // a part of the next request arrived while one is in flight
 
-	// Used only on the session's goroutine.
-	bufferedAt  time.Duration // arrival of the oldest buffered byte, by the scheduler's clock
-	readCount   int           // reader.ReadCount when the request began
-	bufferBytes int64         // part of the read buffer that counts in frontend.bodyBytes
+	bufferBytes int64 // part of the read buffer that counts in frontend.bodyBytes; used by the session only
 }
 
 func newClientConn(conn net.Conn) *clientConn {
@@ -66,7 +63,7 @@
 		startedAt = client.stateSince // the timeout of a first request counts from the connection's start
 	}
 	client.state, client.stateSince = stateReading, time.Now()
-	client.hasPipelined, client.readCount = false, client.reader.ReadCount()
+	client.hasPipelined = false
 	client.conn.SetReadDeadline(startedAt.Add(requestTimeout))
 }
 
@@ -99,13 +96,13 @@
 	return closeAfterAnswer || (f.closing || client.closeRequested) && !client.hasPipelined
 }
 
-// receivedAt returns when the request just read arrived, by the scheduler's clock. A pipelined request that
-// was buffered completely arrived with the bytes before it.
+// receivedAt returns when the last byte of the request just read arrived, by the scheduler's clock.
 func (f *frontend) receivedAt(client *clientConn) time.Duration {
-	if client.reader.ReadCount() > client.readCount {
-		client.bufferedAt = f.loop.Now()
+	arrivedAt := client.reader.ConsumedAt()
+	if arrivedAt.IsZero() { // the connection does not tell
+		return f.loop.Now()
 	}
-	return client.bufferedAt
+	return f.loop.TimeOf(arrivedAt)
 }
 
 // accountBuffer counts the part of a read buffer that exceeds the limit of a head as body bytes.
--- a/internal/platform/gateway.go
+++ b/internal/platform/gateway.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"landingpaddle/endpoints"
+	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/daemon"
 )
 
@@ -93,7 +94,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	listener, err := net.Listen("tcp4", g.config.Listen.String())
+	listener, err := arrival.Listen("tcp4", g.config.Listen.String())
 	if err != nil {
 		return keyError(configKeyListen, err)
 	}
--- a/internal/platform/linger.go
+++ b/internal/platform/linger.go
@@ -1,9 +1,6 @@
 package platform
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 const (
 	// Data that arrives after the last answer is drained and discarded, so that the answer is delivered: at
@@ -23,8 +20,8 @@
 	f.moveToLingering(client)
 	f.mu.Unlock()
 	isLimitReached := f.isLingerLimitReached()
-	tcp, ok := client.conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
+	conn, ok := client.conn.(interface{ CloseWrite() error })
+	if !ok || conn.CloseWrite() != nil {
 		return
 	}
 	timeout := lingerTimeout
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -57,7 +57,6 @@
 		}
 		switch err := client.reader.WaitReadable(); {
 		case err == nil:
-			client.bufferedAt = f.loop.Now()
 		case isTimeout(err):
 			// The connection ends unless data arrived at the same moment.
 			f.requestClose(client)
@@ -113,9 +112,6 @@
 		err := client.reader.ReadAhead(maxReadAhead)
 		switch {
 		case err == nil:
-			if buffered == 0 {
-				client.bufferedAt = f.loop.Now()
-			}
 			f.accountBuffer(client)
 		case errors.Is(err, http1.ErrBufferFull), isTimeout(err):
 			return true
