Keep the writes of a key in the order of arrival after a hold-up

What callers saw: a scheduler was held up for 0.14 s while clients wrote the same key one after another. Afterwards the writes ran in another order, often the opposite one.

Cause: a request's place in its key's order was the moment at which its session's goroutine called Submit. After a hold-up the goroutines of all readable connections become runnable at once, and the runtime runs them in no order of arrival.

Fix, in two parts, both needed: - Request.ArrivedAt, the kernel's time of arrival, orders a key's queue among the requests that were not sent yet. - scheduler/arrival.go decides when earlier requests may still be unread: no batch for 20 ms, or a request that was read over 20 ms after its arrival. Then the next ordered request makes the scheduler ask the driver to collect arrivals; until that is done, for 50 ms at most while the process runs, no ordered request is sent for the first time. The frontend looks into all clients' sockets and the accept queue. If nothing is unread, as after mere idleness, the request is sent in the same batch. Classes without order and requests without a key never wait.

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -143,19 +143,22 @@
 // first read it is when the connection was accepted.
 func (c *Conn) LastArrival() time.Time { return c.base.Add(time.Duration(c.lastArrival.Load())) }
 
-// FinishHandling states that the work on all data read so far is finished. Without it, the work counts as
-// finished once Read finds nothing more to read.
+// BeginHandling states that the reader works on data that it read earlier.
+func (c *Conn) BeginHandling() { c.isUnhandled.Store(true) }
+
+// FinishHandling states that the reader's work on all data read so far is finished. Without it, the work
+// counts as finished once Read finds nothing more to read.
 func (c *Conn) FinishHandling() { c.isUnhandled.Store(false) }
 
-// HasUnhandled reports whether data that arrived before the given time may be unread, or may have been read
-// by a goroutine that has not finished its work on it.
-func (c *Conn) HasUnhandled(before time.Time) bool {
-	// The order matters: data that is read after the first check is found by the second.
-	return c.hasUnread(before) || c.isUnhandled.Load() && c.LastArrival().Before(before)
+// IsUnhandled reports whether data that arrived before the given time may have been read by a goroutine that
+// has not finished its work on it. Call HasUnread first: data that is read after that call is found by this
+// one.
+func (c *Conn) IsUnhandled(before time.Time) bool {
+	return c.isUnhandled.Load() && c.LastArrival().Before(before)
 }
 
-// hasUnread reports whether the socket holds data, the last byte of which arrived before the given time.
-func (c *Conn) hasUnread(before time.Time) (unread bool) {
+// HasUnread reports whether the socket holds data, the last byte of which arrived before the given time.
+func (c *Conn) HasUnread(before time.Time) (unread bool) {
 	err := c.raw.Control(func(descriptor uintptr) {
 		var peeked [1]byte
 		count, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/internal/arrival/conn_test.go
+++ b/internal/arrival/conn_test.go
@@ -194,12 +194,12 @@
 
 // Data counts as unhandled while it is in the socket, and until the reader comes back for more or states that
 // its work is finished; but only if it arrived before the given time.
-func TestConn_HasUnhandled(t *testing.T) {
+func TestConn_TellsUnhandledData(t *testing.T) {
 	client, conn := connectedPair(t, nil)
 	now := func() time.Time { return time.Now().Add(tick) }
 	expect := func(state string, before time.Time, want bool) {
 		t.Helper()
-		if got := conn.HasUnhandled(before); got != want {
+		if got := conn.HasUnread(before) || conn.IsUnhandled(before); got != want {
 			t.Errorf("%s: got unhandled %v, want %v", state, got, want)
 		}
 	}
@@ -213,6 +213,9 @@
 	expect("read, arrived later", sentAt.Add(-tick), false)
 	conn.FinishHandling()
 	expect("handled", now(), false)
+	conn.BeginHandling()
+	expect("worked on again", now(), true)
+	conn.FinishHandling()
 
 	write(t, client, "part")
 	read(t, conn, "part")
@@ -222,7 +225,7 @@
 		defer close(ended)
 		conn.Read(make([]byte, 1)) // waits for more
 	}()
-	for deadline := time.Now().Add(5 * time.Second); conn.HasUnhandled(now()); {
+	for deadline := time.Now().Add(5 * time.Second); conn.IsUnhandled(now()); {
 		if time.Now().After(deadline) {
 			t.Fatal("waiting for the rest: got unhandled, want not")
 		}
@@ -308,7 +311,7 @@
 }
 
 // What checking one idle connection for unread data costs.
-func BenchmarkConn_HasUnhandled(b *testing.B) {
+func BenchmarkConn_HasUnread(b *testing.B) {
 	listener, err := Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -327,8 +330,8 @@
 	before := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		if conn.(*Conn).HasUnhandled(before) {
-			b.Fatal("got unhandled data, want none")
+		if conn.(*Conn).HasUnread(before) {
+			b.Fatal("got unread data, want none")
 		}
 	}
 }
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -32,6 +32,10 @@
 		l.drivers.Endpoints.Watch(action)
 	case scheduler.FetchEndpoints:
 		l.drivers.Endpoints.Fetch()
+	case scheduler.CollectArrivals:
+		if l.drivers.Arrivals.Collect(action.Before, action.Timeout) {
+			l.collected = append(l.collected, scheduler.ArrivalsCollected{Before: action.Before})
+		}
 	}
 }
 
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -13,7 +13,7 @@
 // submits the call; from then on the loop owns it.
 type Call struct {
 	Responder  Responder
-	Request    scheduler.Request // the loop sets ID and ExpiresAt
+	Request    scheduler.Request // the loop sets ID, ArrivedAt and ExpiresAt
 	ReceivedAt time.Duration     // when its last byte arrived, by the scheduler's clock
 	Timeout    time.Duration     // how long the client waits, counted from ReceivedAt
 	Token      uint64            // identifies the call in logs
@@ -37,7 +37,7 @@
 	expiresAt := call.ReceivedAt + call.Timeout - l.shared.cfg.ResponseMargin
 	call.overdueTimer = l.timers.set(expiresAt+l.shared.cfg.AnswerSlack, func() { l.failOverdue(call) })
 	event := call.Request
-	event.ExpiresAt = expiresAt
+	event.ArrivedAt, event.ExpiresAt = call.ReceivedAt, expiresAt
 	if call.Range != nil {
 		l.startRangedCall(call, event)
 		return
--- a/internal/daemon/drivers.go
+++ b/internal/daemon/drivers.go
@@ -20,7 +20,8 @@
 type Drivers struct {
 	Upstream  Upstream
 	Endpoints EndpointSource
-	Peers     PeerSender // nil: no messages between instances
+	Arrivals  ArrivalCollector // nil: calls are submitted in the order of their arrival
+	Peers     PeerSender       // nil: no messages between instances
 }
 
 // Responder receives the answer to a call.
@@ -54,6 +55,15 @@
 	FetchFull()
 }
 
+// ArrivalCollector makes sure that requests that have arrived are submitted, whichever goroutine reads them.
+type ArrivalCollector interface {
+	// Collect reports whether every request that arrived before the given time, by the scheduler's clock, has
+	// been submitted or rejected. If not, it calls EventLoop.ReportArrivalsCollected once that is so, or
+	// after the timeout. A request behind another one of the same connection that is not answered yet does
+	// not count.
+	Collect(before, timeout time.Duration) (isComplete bool)
+}
+
 // PeerSender sends messages to other instances. Messages may be lost.
 type PeerSender interface {
 	Send(to uint32, body []byte) error
--- a/internal/daemon/event_loop.go
+++ b/internal/daemon/event_loop.go
@@ -134,6 +134,9 @@
 // TimeOf returns a time with a monotonic reading as a time of the scheduler's clock.
 func (e *EventLoop) TimeOf(at time.Time) time.Duration { return clockStart + at.Sub(e.startedAt) }
 
+// AtTime returns a time of the scheduler's clock as a time with a monotonic reading.
+func (e *EventLoop) AtTime(at time.Duration) time.Time { return e.startedAt.Add(at - clockStart) }
+
 // clock returns the times of the scheduler's clock and of the wall clock.
 func (e *EventLoop) clock() endpoints.Clock {
 	return endpoints.Clock{Now: e.Now(), Wall: time.Now().UnixNano()}
--- a/internal/daemon/event_loop_input.go
+++ b/internal/daemon/event_loop_input.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"time"
+
 	"landingpaddle/endpoints"
 	"landingpaddle/internal/proto"
 	"landingpaddle/scheduler"
@@ -50,6 +52,12 @@
 	e.inbox.put(healthCheckEnded{result})
 }
 
+// ReportArrivalsCollected reports that the collection of arrivals before a time, which was not complete at
+// once, is over.
+func (e *EventLoop) ReportArrivalsCollected(before time.Duration) {
+	e.inbox.put(arrivalsCollected{scheduler.ArrivalsCollected{Before: before}})
+}
+
 // ReceivePeerMessage passes a message from another instance to the loop. It is discarded if too many such
 // messages are queued.
 func (e *EventLoop) ReceivePeerMessage(message scheduler.PeerMessage) {
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -32,11 +32,12 @@
 	timers           timers
 	requests         map[uint32]*request
 	lastRequestID    uint32
-	lastRangedID     uint64        // planner's ID of the last ranged call
-	undispatched     []*Operation  // of this batch, not passed to the upstream yet
-	now              time.Duration // start of this batch
-	eventsPending    bool          // the scheduler has received events since the last Decide
-	spareMessages    []message     // of the previous batch; reused
+	lastRangedID     uint64                        // planner's ID of the last ranged call
+	undispatched     []*Operation                  // of this batch, not passed to the upstream yet
+	now              time.Duration                 // start of this batch
+	eventsPending    bool                          // the scheduler has received events since the last Decide
+	collected        []scheduler.ArrivalsCollected // collections of this batch that were complete at once
+	spareMessages    []message                     // of the previous batch; reused
 	lastBatchEnd     time.Duration
 	countersLoggedAt time.Duration // time of the last log of the counters
 }
@@ -57,6 +58,9 @@
 		l.planner = extent.New(*cfg.Extents)
 		sched.SetBatcher(l.planner)
 	}
+	if drivers.Arrivals != nil {
+		sched.EnableArrivalCollection()
+	}
 	if cfg.Hooks.Decider != nil {
 		l.decider = cfg.Hooks.Decider(cfg.Settings, sched)
 	}
@@ -131,16 +135,14 @@
 // runBatch processes all queued messages and due timers and executes the scheduler's actions. Messages are
 // processed before timers, so that an answer takes precedence over a time-out due in the same batch.
 func (l *loop) runBatch() {
-	l.now = l.shared.Now()
-	messages := l.shared.inbox.takeAll(l.spareMessages)
-	for _, m := range messages {
-		m.apply(l)
-	}
-	l.spareMessages = messages
+	l.processMessages()
 	l.timers.runDue(l.now)
 	if l.eventsPending {
 		l.decide()
 	}
+	if len(l.collected) > 0 {
+		l.finishCollections()
+	}
 	if l.eventsPending {
 		// Executing the actions has produced new events (a cancelled attempt has its result at once). The
 		// scheduler's decision on these must not wait for the next message.
@@ -154,6 +156,29 @@
 	l.lastBatchEnd = l.shared.Now()
 }
 
+// processMessages processes all queued messages. The clock is read after they are taken, so that it is not
+// before the arrival of any request among them.
+func (l *loop) processMessages() {
+	messages := l.shared.inbox.takeAll(l.spareMessages)
+	l.now = l.shared.Now()
+	for _, m := range messages {
+		m.apply(l)
+	}
+	l.spareMessages = messages
+}
+
+// finishCollections processes the requests that were read since this batch began, and then lets the scheduler
+// decide on those that waited for them.
+func (l *loop) finishCollections() {
+	collected := l.collected
+	l.collected = nil
+	l.processMessages()
+	for _, event := range collected {
+		l.notify(event)
+	}
+	l.decide()
+}
+
 // notify passes an event to the scheduler.
 func (l *loop) notify(event scheduler.Event) {
 	l.eventsPending = true
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -79,6 +79,11 @@
 	l.updateFromNode("node restarted", m.node.server, update, changed)
 }
 
+// arrivalsCollected reports that a collection of arrivals is over.
+type arrivalsCollected struct{ event scheduler.ArrivalsCollected }
+
+func (m arrivalsCollected) apply(l *loop) { l.notify(m.event) }
+
 // peerMessageReceived is a message from another instance.
 type peerMessageReceived struct{ message scheduler.PeerMessage }
 
--- /dev/null
+++ b/internal/platform/arrivals_test.go
@@ -0,0 +1,130 @@
+package platform
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"landingpaddle/internal/arrival"
+	"landingpaddle/internal/daemon"
+	"landingpaddle/internal/wire"
+)
+
+// frontendWithClient returns a frontend with one client's connection and the client's end of it. No session
+// runs.
+func frontendWithClient(t *testing.T) (*frontend, *clientConn, net.Conn) {
+	t.Helper()
+	listener, err := arrival.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close(); conn.Close() })
+	loop := daemon.NewEventLoop(daemon.EventLoopConfig{})
+	f := newFrontend(loop, &wire.Site{}, slog.New(slog.DiscardHandler), resourceLimits{clients: 1})
+	client := newClientConn(conn)
+	if !f.register(client) {
+		t.Fatal("got the client refused, want it registered")
+	}
+	return f, client, peer
+}
+
+// A client's request counts as not submitted from its arrival until Submit has returned, whatever the session
+// is doing; a request behind it on the connection does not count.
+func TestFrontend_TellsUnsubmittedRequests(t *testing.T) {
+	f, client, peer := frontendWithClient(t)
+	expect := func(state string, want int) {
+		t.Helper()
+		time.Sleep(20 * time.Millisecond) // more than the kernel's tick
+		if got := len(f.unsubmitted(time.Now())); got != want {
+			t.Errorf("%s: got %d clients with unsubmitted requests, want %d", state, got, want)
+		}
+	}
+	send := func(text string) {
+		t.Helper()
+		if _, err := peer.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expect("nothing sent", 0)
+	send(readText("a1"))
+	expect("unread", 1)
+	if got := len(f.unsubmitted(time.Now().Add(-time.Second))); got != 0 {
+		t.Errorf("unread, arrived later: got %d clients, want 0", got)
+	}
+	if err := client.reader.WaitReadable(); err != nil {
+		t.Fatal(err)
+	}
+	expect("read", 1)
+	f.beginReading(client)
+	expect("being parsed", 1)
+	if _, err := client.reader.ReadRequest(); err != nil {
+		t.Fatal(err)
+	}
+	f.beginProcessing(client)
+	expect("not submitted yet", 1)
+	client.arrivals.FinishHandling()
+	expect("submitted", 0)
+	send(readText("a2"))
+	expect("another one behind it", 0)
+	if err := client.reader.ReadAhead(maxReadAhead); err != nil {
+		t.Fatal(err)
+	}
+	f.recordPipelined(client)
+	client.arrivals.FinishHandling() // as the next read does, which finds nothing
+	expect("another one read ahead", 0)
+	f.endProcessing(client, false)
+	expect("the first one answered", 1)
+	f.beginReading(client)
+	expect("the second one being parsed", 1)
+	f.unregister(client)
+	expect("closed", 0)
+}
+
+// A collection is complete at once if nothing is unread. Otherwise it ends when the requests that were unread
+// are submitted, including those on connections that are not accepted yet.
+func TestArrivalCollector_WaitsForUnacceptedClients(t *testing.T) {
+	const checks = 4000 // 2 s
+	f, _, _ := frontendWithClient(t)
+	listener, err := arrival.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	collector := &arrivalCollector{frontend: f, listener: listener}
+	if !collector.Collect(f.loop.Now(), collectInterval) {
+		t.Error("without unread requests: got a collection that waits, want it complete")
+	}
+	peer, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if collector.Collect(f.loop.Now(), collectInterval) || f.counters.collections.Load() != 1 {
+		t.Error("with a client that is not accepted: got the collection complete, want it to wait")
+	}
+	began, ended := time.Now(), make(chan struct{})
+	go func() {
+		defer close(ended)
+		collector.await(time.Now(), checks)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	<-ended
+	if waited := time.Since(began); waited < 100*time.Millisecond || waited > time.Second {
+		t.Errorf("got an end after %v, want it soon after the accept", waited)
+	}
+}
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/http1"
 )
 
@@ -28,8 +29,9 @@
 // clientConn is one client's connection. Only the goroutine of its session reads it, shuts it down and closes
 // it, except in frontend.closeAll; others request that from the session with frontend.evict.
 type clientConn struct {
-	conn   net.Conn
-	reader *http1.Reader // used by the session only
+	conn     net.Conn
+	reader   *http1.Reader // used by the session only
+	arrivals *arrival.Conn // conn; nil: it does not tell when data arrived
 
 	// Guarded by frontend.mu.
 	state          connState
@@ -44,7 +46,9 @@
 
 func newClientConn(conn net.Conn) *clientConn {
 	limits := http1.Limits{MaxHead: maxClientHead, MaxBody: maxBody}
-	return &clientConn{conn: conn, reader: http1.NewReader(conn, limits), stateSince: time.Now()}
+	arrivals, _ := conn.(*arrival.Conn)
+	return &clientConn{conn: conn, reader: http1.NewReader(conn, limits), arrivals: arrivals,
+		stateSince: time.Now()}
 }
 
 // writeResponse writes one response within writeTimeout.
@@ -64,6 +68,9 @@
 	}
 	client.state, client.stateSince = stateReading, time.Now()
 	client.hasPipelined = false
+	if client.arrivals != nil {
+		client.arrivals.BeginHandling() // the request may have been read ahead
+	}
 	client.conn.SetReadDeadline(startedAt.Add(requestTimeout))
 }
 
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -50,6 +50,7 @@
 	invalid      atomic.Uint64 // invalid, late or duplicate requests, and those over the limit of body bytes
 	duplicateIDs atomic.Uint64 // requests with the id of one in flight
 	overLimit    atomic.Uint64 // requests rejected because a limit was reached, or during a shutdown
+	collections  atomic.Uint64 // times that requests which had arrived earlier had to be waited for
 }
 
 func newFrontend(loop *daemon.EventLoop, site *wire.Site, log *slog.Logger, limits resourceLimits) *frontend {
--- a/internal/platform/gateway.go
+++ b/internal/platform/gateway.go
@@ -101,7 +101,7 @@
 	defer listener.Close()
 	g.started <- listener.Addr()
 	var workers sync.WaitGroup
-	drivers, err := g.startDrivers(ctx, &workers)
+	drivers, err := g.startDrivers(ctx, listener, &workers)
 	if err != nil {
 		return err
 	}
@@ -129,14 +129,16 @@
 	return err
 }
 
-// startDrivers creates the drivers that execute the loop's actions: discovery, the upstream pool and, if the
-// configuration has an address for it, gossip.
-func (g *Gateway) startDrivers(ctx context.Context, workers *sync.WaitGroup) (daemon.Drivers, error) {
+// startDrivers creates the drivers that execute the loop's actions: discovery, the upstream pool, the
+// collector of arrivals and, if the configuration has an address for it, gossip.
+func (g *Gateway) startDrivers(ctx context.Context, listener *arrival.Listener,
+	workers *sync.WaitGroup) (daemon.Drivers, error) {
 	g.mu.Lock()
 	g.discovery = newDiscovery(ctx, g.loop, &g.config.Site, g.discoveryAddress, g.addresses)
 	g.mu.Unlock()
 	g.upstream = newUpstreamPool(ctx, g.loop, g.config, g.addresses, g.log, g.limits.upstream)
-	drivers := daemon.Drivers{Upstream: g.upstream, Endpoints: g.discovery}
+	drivers := daemon.Drivers{Upstream: g.upstream, Endpoints: g.discovery,
+		Arrivals: &arrivalCollector{frontend: g.frontend, listener: listener}}
 	if g.config.PeerListen.IsValid() {
 		gossip, err := newGossip(g.config)
 		if err != nil {
--- a/internal/platform/gateway_fixture_test.go
+++ b/internal/platform/gateway_fixture_test.go
@@ -15,7 +15,16 @@
 	"go.uber.org/goleak"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if path := os.Getenv(gatewayProcessVariable); path != "" {
+		if err := runGatewayProcess(path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const (
 	eventualTimeout      = 5 * time.Second
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -52,6 +52,7 @@
 	attrRequestsInvalid     = "requests_invalid"
 	attrRequestsDuplicateID = "requests_duplicate_id"
 	attrRequestsOverLimit   = "requests_over_limit"
+	attrArrivalCollections  = "arrival_collections"
 
 	// Current connections to disk servers.
 	attrUpstreamConnections = "upstream_connections"
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -96,6 +96,9 @@
 		f.reject(request, reason)
 	} else {
 		f.loop.Submit(request.call)
+		if client.arrivals != nil {
+			client.arrivals.FinishHandling()
+		}
 		if !f.readAheadUntilAnswered(client) {
 			f.loop.CancelCall(request.call)
 			<-request.answered
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Action is an output of the scheduler that its driver carries out: one of the types below. At present the
-// scheduler returns only Send, Reject, Fail, SetTimer and WatchEndpoints.
+// scheduler returns only Send, Reject, Fail, SetTimer, WatchEndpoints and, if enabled, CollectArrivals.
 type Action interface{ isAction() }
 
 // Send starts an attempt. The attempts of a request are numbered from 0 in send order.
@@ -64,14 +64,23 @@
 // FetchEndpoints requests the full endpoint list once.
 type FetchEndpoints struct{}
 
-func (Send) isAction()           {}
-func (Reject) isAction()         {}
-func (Fail) isAction()           {}
-func (Cancel) isAction()         {}
-func (SetTimer) isAction()       {}
-func (CheckHealth) isAction()    {}
-func (CloseIdle) isAction()      {}
-func (SendToPeer) isAction()     {}
-func (WriteLog) isAction()       {}
-func (WatchEndpoints) isAction() {}
-func (FetchEndpoints) isAction() {}
+// CollectArrivals requests that all requests that arrived before a clock value be read and passed to the
+// scheduler. ArrivalsCollected must follow once that is done, or after the timeout; time in which the process
+// did not run does not count.
+type CollectArrivals struct {
+	Before  time.Duration
+	Timeout time.Duration
+}
+
+func (Send) isAction()            {}
+func (Reject) isAction()          {}
+func (Fail) isAction()            {}
+func (Cancel) isAction()          {}
+func (SetTimer) isAction()        {}
+func (CheckHealth) isAction()     {}
+func (CloseIdle) isAction()       {}
+func (SendToPeer) isAction()      {}
+func (WriteLog) isAction()        {}
+func (WatchEndpoints) isAction()  {}
+func (FetchEndpoints) isAction()  {}
+func (CollectArrivals) isAction() {}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -55,6 +55,10 @@
 		s.emit(Reject{ID: incoming.ID})
 		return
 	}
+	if incoming.ArrivedAt == 0 {
+		incoming.ArrivedAt = s.now
+	}
+	s.arrivals.observeRequest(incoming.ArrivedAt, s.now)
 	c := s.classes[incoming.Class]
 	c.longestWait = max(c.longestWait, incoming.ExpiresAt-s.now)
 	r := &request{Request: incoming, class: c, volume: s.volumeFor(incoming)}
@@ -65,6 +69,7 @@
 	r.volume.openRequests++
 	s.requests[r.ID] = r
 	s.keys.add(r)
+	s.collectBefore(r)
 	if r.Cell < 0 {
 		r.shard = s.placeNewObject(r)
 	} else {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -85,12 +85,16 @@
 	return index
 }
 
-// mayDispatch reports whether the order of its key, the limits on retries and its volume's quota allow a
-// request to be sent to a node; with a leader, as a member of the leader's operation.
+// mayDispatch reports whether the order of its key, earlier requests that may be unread, the limits on
+// retries and its volume's quota allow a request to be sent to a node; with a leader, as a member of the
+// leader's operation.
 func (s *Scheduler) mayDispatch(r *request, n *node, leader *request) bool {
 	if !s.keys.isTurn(r, leader, s.now) {
 		return false
 	}
+	if r.isOrdered() && r.attempts == 0 && s.arrivals.isCollecting(s.now) {
+		return false
+	}
 	if r.attempts > 0 && !s.mayRetry(r, n) {
 		return false
 	}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -25,6 +25,7 @@
 	VolumeInstances int           // number of instances through which the volume's requests arrive
 	Plan            int           // index in Settings.Plans
 	Key             uint64        // ordering key, for classes that are ordered by key; 0: none
+	ArrivedAt       time.Duration // clock value at which its last byte arrived; 0: now
 	ExpiresAt       time.Duration // clock value at which the client stops waiting
 	Volume          uint64
 	Units           float64
@@ -93,6 +94,9 @@
 	Body []byte
 }
 
+// ArrivalsCollected reports that the collection requested by CollectArrivals with the same Before is over.
+type ArrivalsCollected struct{ Before time.Duration }
+
 func (EndpointUpdate) isEvent()    {}
 func (Request) isEvent()           {}
 func (AttemptResult) isEvent()     {}
@@ -101,3 +105,4 @@
 func (TimerFired) isEvent()        {}
 func (HealthCheckResult) isEvent() {}
 func (PeerMessage) isEvent()       {}
+func (ArrivalsCollected) isEvent() {}
--- a/scheduler/ordering.go
+++ b/scheduler/ordering.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// keyQueue holds the requests of one ordering key, oldest first.
+// keyQueue holds the requests of one ordering key in the order in which they are sent.
 type keyQueue struct {
 	requests     []*request
 	blockedUntil time.Duration // earliest time of the next first attempt, as an earlier request may still run
@@ -19,7 +19,7 @@
 
 func (r *request) isOrdered() bool { return r.class.OrderedByKey && r.Key != 0 }
 
-// add puts a request at the end of its key's queue.
+// add puts a request into its key's queue: behind all that arrived before it, and behind those already sent.
 func (t *keyTable) add(r *request) {
 	if !r.isOrdered() {
 		return
@@ -29,7 +29,17 @@
 		queue = &keyQueue{}
 		t.byKey[r.Key] = queue
 	}
-	queue.requests = append(queue.requests, r)
+	position := len(queue.requests)
+	for position > 0 && queue.requests[position-1].mayFollow(r) {
+		position--
+	}
+	queue.requests = slices.Insert(queue.requests, position, r)
+}
+
+// mayFollow reports whether a request of the same key as another one can be sent after it, as it arrived
+// later and was not sent yet.
+func (r *request) mayFollow(other *request) bool {
+	return r.attempts == 0 && r.ArrivedAt > other.ArrivedAt
 }
 
 // isTurn reports whether the order of its key allows a request to be sent. A member of an operation may
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 	backlog    backlog
 	volumes    volumeTable
 	keys       keyTable
+	arrivals   arrivals
 	retries    retryBudget
 	latency    latencyModel
 	review     reviewTimer
@@ -112,6 +113,8 @@
 		}
 	case TimerFired:
 		s.handleTimer(event)
+	case ArrivalsCollected:
+		s.finishCollection(event)
 	}
 }
 
@@ -138,6 +141,7 @@
 func (s *Scheduler) advanceClock(now time.Duration) {
 	if now != s.now {
 		s.review.stalled = s.review.pending && now > s.review.dueAt+stallThreshold
+		s.arrivals.observeClock(s.now, now)
 	}
 	s.now = now
 	if s.started {
