Keep order and time of arrival on the native protocol, too

What callers saw: the same as on HTTP. After a hold-up of an instance, writes of one key that came on several connections ran in another order than they had been sent in, and the node was told more time than the client still waited.

Cause: clientListener.handleRequest took the clock when the goroutine of a connection ran, and the order was that of its calls of Submit.

Fix: daemon.New makes its TCP listener record arrivals; proto.Conn tells for each frame when its last byte arrived. The record of arrivals that http1.Reader had moves to arrival.Log, the collector of arrivals to package daemon, where both frontends use it. A native connection carries many requests at once, so all of its unread data counts, whenever the last of it arrived.

Evidence: TestClientListener_KeepsOrderAcrossHoldUp on the text before: order 100 101 102 103 instead of 103 102 101 100, time-outs of 3.99 s instead of at most 3.88 s. It also fails with only one of the two parts: with the time of reading, and without the collector.

Collections that had to wait are counted (arrival_collections).

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -150,19 +150,21 @@
 // counts as finished once Read finds nothing more to read.
 func (c *Conn) FinishHandling() { c.isUnhandled.Store(false) }
 
-// IsUnhandled reports whether data that arrived before the given time may have been read by a goroutine that
-// has not finished its work on it. Call HasUnread first: data that is read after that call is found by this
-// one.
+// IsUnhandled reports whether data, the last byte of which arrived before the given time, may have been read
+// by a goroutine that has not finished its work on it. The zero time stands for any time. Call HasUnread
+// first: data that is read after that call is found by this one.
 func (c *Conn) IsUnhandled(before time.Time) bool {
-	return c.isUnhandled.Load() && c.LastArrival().Before(before)
+	return c.isUnhandled.Load() && (before.IsZero() || c.LastArrival().Before(before))
 }
 
-// HasUnread reports whether the socket holds data, the last byte of which arrived before the given time.
+// HasUnread reports whether the socket holds data, the last byte of which arrived before the given time. The
+// zero time stands for any time.
 func (c *Conn) HasUnread(before time.Time) (unread bool) {
 	err := c.raw.Control(func(descriptor uintptr) {
 		var peeked [1]byte
 		count, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unread = err == nil && count > 0 && lastReceived(int(descriptor)).Before(before)
+		unread = err == nil && count > 0 &&
+			(before.IsZero() || lastReceived(int(descriptor)).Before(before))
 	})
 	return err == nil && unread
 }
--- a/internal/arrival/listener.go
+++ b/internal/arrival/listener.go
@@ -24,7 +24,20 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp := listener.(*net.TCPListener)
+	return newListener(listener.(*net.TCPListener))
+}
+
+// Wrap returns a Listener for one that listens already, and takes ownership of it. Of connections that were
+// established before, times of arrival are not known.
+func Wrap(tcp *net.TCPListener) (*Listener, error) {
+	listener, err := newListener(tcp)
+	if err == nil {
+		err = recordArrivals("", "", listener.raw)
+	}
+	return listener, err
+}
+
+func newListener(tcp *net.TCPListener) (*Listener, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		tcp.Close()
--- a/internal/daemon/client_listener.go
+++ b/internal/daemon/client_listener.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	drained     chan struct{} // closed once closing is true and no connection is left
 }
 
+var _ Clients = (*clientListener)(nil)
+
 // clientConnection is one client's connection.
 type clientConnection struct {
 	conn *proto.Conn
@@ -132,7 +136,7 @@
 		stream:     frame.Stream,
 		payload:    frame.Payload,
 	}
-	receivedAt := l.instance.Now()
+	receivedAt := l.receivedAt(connection)
 	if err := frame.Decode(&request.header); err != nil {
 		return err
 	}
@@ -153,6 +157,33 @@
 	return nil
 }
 
+// receivedAt returns when the last byte of the frame that is being handled arrived, by the scheduler's clock.
+func (l *clientListener) receivedAt(connection *clientConnection) time.Duration {
+	arrivedAt := connection.conn.ReceivedAt()
+	if arrivedAt.IsZero() { // the connection does not tell
+		return l.instance.Now()
+	}
+	return l.instance.TimeOf(arrivedAt)
+}
+
+// HasPending reports false: a client sends its first request only once its connection is accepted and its
+// handshake answered.
+func (l *clientListener) HasPending() bool { return false }
+
+// Unsubmitted implements Clients. It returns all connections with a request that is not submitted, whenever
+// it arrived.
+func (l *clientListener) Unsubmitted(time.Time) (unsubmitted []func() bool) {
+	l.mu.Lock()
+	connections := slices.Collect(maps.Keys(l.connections))
+	l.mu.Unlock()
+	for _, connection := range connections {
+		if connection.conn.HasUnhandled() {
+			unsubmitted = append(unsubmitted, connection.conn.HasUnhandled)
+		}
+	}
+	return unsubmitted
+}
+
 func (c *clientConnection) add(stream uint64, call *Call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -16,9 +16,9 @@
 	Admitted, Served, Rejected, Failed, ClientGone, Overdue atomic.Uint64
 
 	// Attempts dispatched; results that arrived after their attempt had ended, which are ignored; attempts
-	// not sent because their request had ended or their time was up; batches; endpoint snapshots that could
-	// not be saved.
-	Attempts, LateResults, Withheld, Batches, SnapshotFailures atomic.Uint64
+	// not sent because their request had ended or their time was up; batches; collections of arrivals that
+	// had to wait for unread requests; endpoint snapshots that could not be saved.
+	Attempts, LateResults, Withheld, Batches, Collections, SnapshotFailures atomic.Uint64
 
 	// Attempts that ended, by result code.
 	OK, Error, Overloaded, TimedOut, ConnectFailed, Reset, Cancelled, NotApplicable atomic.Uint64
@@ -97,6 +97,7 @@
 		{"attempts", &s.Attempts},
 		{"late", &s.LateResults},
 		{"overdue", &s.Overdue},
+		{"arrival_collections", &s.Collections},
 		{"ok", &s.OK},
 		{"error", &s.Error},
 		{"overloaded", &s.Overloaded},
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/config"
 	"landingpaddle/internal/peer"
 	"landingpaddle/internal/proto"
@@ -59,6 +60,11 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
+	listener, err := recordArrivals(cfg.Listener)
+	if err != nil {
+		return nil, fmt.Errorf("listener: %w", err)
+	}
+	cfg.Listener = listener
 	i := &Instance{cfg: cfg}
 	i.EventLoop = NewEventLoop(i.eventLoopConfig())
 	i.clients = newClientListener(i)
@@ -80,6 +86,16 @@
 	return i, nil
 }
 
+// recordArrivals makes a TCP listener tell when clients' data arrives. Other listeners are returned
+// unchanged.
+func recordArrivals(listener net.Listener) (net.Listener, error) {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return listener, nil
+	}
+	return arrival.Wrap(tcp)
+}
+
 func (i *Instance) eventLoopConfig() EventLoopConfig {
 	cfg, site := &i.cfg, &i.cfg.Site
 	loopConfig := EventLoopConfig{
@@ -161,7 +177,11 @@
 
 // runLoop runs the event loop and saves the statistics after a graceful shutdown.
 func (i *Instance) runLoop(ctx context.Context, group *errgroup.Group) error {
-	drivers := Drivers{Upstream: newUpstreamPool(ctx, group, i), Endpoints: i.registry}
+	drivers := Drivers{
+		Upstream:  newUpstreamPool(ctx, group, i),
+		Endpoints: i.registry,
+		Arrivals:  NewArrivalCollector(i.EventLoop, i.clients),
+	}
 	if i.peers != nil {
 		drivers.Peers = i.peers
 	}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -20,7 +20,7 @@
 	if _, err := io.ReadFull(r.source, body[count:]); err != nil {
 		return nil, unexpectedEOF(err)
 	}
-	r.arrivals.record(len(body) - count)
+	r.arrivals.Record(len(body) - count)
 	return body, nil
 }
 
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"time"
+
+	"landingpaddle/internal/arrival"
 )
 
 // Reader reads messages from one connection. Its buffer contains heads and the bytes that were received
@@ -13,13 +15,12 @@
 	limits     Limits
 	buffer     []byte
 	start, end int // bounds of the bytes in buffer that were read but not consumed
-	arrivals   arrivalLog
+	arrivals   arrival.Log
 }
 
-// NewReader returns a Reader that reads from source. ConsumedAt needs an ArrivalSource.
+// NewReader returns a Reader that reads from source. ConsumedAt needs an arrival.Source.
 func NewReader(source io.Reader, limits Limits) *Reader {
-	recorded, _ := source.(ArrivalSource)
-	return &Reader{source: source, limits: limits, arrivals: arrivalLog{source: recorded}}
+	return &Reader{source: source, limits: limits, arrivals: arrival.NewLog(source)}
 }
 
 // Buffered returns the number of bytes that were read but not yet consumed as part of a message.
@@ -37,7 +38,7 @@
 // ConsumedAt returns when the last byte arrived that was consumed as part of a message; the zero time if that
 // is not known, or since Shrink. A byte that was read together with later ones counts as having arrived with
 // them.
-func (r *Reader) ConsumedAt() time.Time { return r.arrivals.timeOf(r.Buffered()) }
+func (r *Reader) ConsumedAt() time.Time { return r.arrivals.TimeOf(r.Buffered()) }
 
 // ReadAhead blocks until it has read more bytes into the buffer. It buffers up to maxBuffered bytes, or
 // Limits.MaxHead if that is more; at this limit it returns ErrBufferFull. An error of the source is returned
@@ -58,7 +59,7 @@
 func (r *Reader) Shrink() {
 	if r.start == r.end {
 		r.buffer, r.start, r.end = nil, 0, 0
-		r.arrivals.release()
+		r.arrivals.Release()
 	}
 }
 
@@ -90,7 +91,7 @@
 	count, err := r.source.Read(r.buffer[r.end:])
 	r.end += count
 	if count > 0 {
-		r.arrivals.record(count)
+		r.arrivals.Record(count)
 		return nil // an error returned together with bytes is returned again by the next read
 	}
 	if err == nil {
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/daemon"
 	"landingpaddle/internal/wire"
 )
@@ -29,6 +30,8 @@
 	log    *slog.Logger
 	limits resourceLimits
 
+	listener *arrival.Listener // whose clients are served; set before the loop runs
+
 	keepIdle  atomic.Bool  // set by a shutdown: idle connections stay open, as no new ones are expected
 	bodyBytes atomic.Int64 // of request bodies in flight, and of read buffers beyond maxClientHead
 
@@ -50,7 +53,6 @@
 	invalid      atomic.Uint64 // invalid, late or duplicate requests, and those over the limit of body bytes
 	duplicateIDs atomic.Uint64 // requests with the id of one in flight
 	overLimit    atomic.Uint64 // requests rejected because a limit was reached, or during a shutdown
-	collections  atomic.Uint64 // times that requests which had arrived earlier had to be waited for
 }
 
 func newFrontend(loop *daemon.EventLoop, site *wire.Site, log *slog.Logger, limits resourceLimits) *frontend {
--- a/internal/platform/gateway.go
+++ b/internal/platform/gateway.go
@@ -99,9 +99,10 @@
 		return keyError(configKeyListen, err)
 	}
 	defer listener.Close()
+	g.frontend.listener = listener
 	g.started <- listener.Addr()
 	var workers sync.WaitGroup
-	drivers, err := g.startDrivers(ctx, listener, &workers)
+	drivers, err := g.startDrivers(ctx, &workers)
 	if err != nil {
 		return err
 	}
@@ -131,14 +132,13 @@
 
 // startDrivers creates the drivers that execute the loop's actions: discovery, the upstream pool, the
 // collector of arrivals and, if the configuration has an address for it, gossip.
-func (g *Gateway) startDrivers(ctx context.Context, listener *arrival.Listener,
-	workers *sync.WaitGroup) (daemon.Drivers, error) {
+func (g *Gateway) startDrivers(ctx context.Context, workers *sync.WaitGroup) (daemon.Drivers, error) {
 	g.mu.Lock()
 	g.discovery = newDiscovery(ctx, g.loop, &g.config.Site, g.discoveryAddress, g.addresses)
 	g.mu.Unlock()
 	g.upstream = newUpstreamPool(ctx, g.loop, g.config, g.addresses, g.log, g.limits.upstream)
 	drivers := daemon.Drivers{Upstream: g.upstream, Endpoints: g.discovery,
-		Arrivals: &arrivalCollector{frontend: g.frontend, listener: listener}}
+		Arrivals: daemon.NewArrivalCollector(g.loop, g.frontend)}
 	if g.config.PeerListen.IsValid() {
 		gossip, err := newGossip(g.config)
 		if err != nil {
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -52,7 +52,6 @@
 	attrRequestsInvalid     = "requests_invalid"
 	attrRequestsDuplicateID = "requests_duplicate_id"
 	attrRequestsOverLimit   = "requests_over_limit"
-	attrArrivalCollections  = "arrival_collections"
 
 	// Current connections to disk servers.
 	attrUpstreamConnections = "upstream_connections"
--- a/internal/platform/status.go
+++ b/internal/platform/status.go
@@ -66,7 +66,6 @@
 		slog.Uint64(attrRequestsInvalid, counters.invalid.Load()),
 		slog.Uint64(attrRequestsDuplicateID, counters.duplicateIDs.Load()),
 		slog.Uint64(attrRequestsOverLimit, counters.overLimit.Load()),
-		slog.Uint64(attrArrivalCollections, counters.collections.Load()),
 	}
 }
 
--- a/internal/proto/conn.go
+++ b/internal/proto/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"landingpaddle/internal/arrival"
 )
 
 // Errors of connections.
@@ -34,6 +36,7 @@
 	netConn    net.Conn
 	cfg        Config
 	reader     *bufio.Reader // owned by the handshake, then by Run
+	arrivals   arrival.Log   // of the bytes read from netConn; used with reader
 	peerHello  Hello
 	peerLimits Limits // of frames sent to the peer
 
@@ -49,15 +52,17 @@
 }
 
 func newConn(netConn net.Conn, cfg Config) *Conn {
-	return &Conn{
+	c := &Conn{
 		netConn:     netConn,
 		cfg:         cfg,
-		reader:      bufio.NewReaderSize(netConn, readBufferSize),
+		arrivals:    arrival.NewLog(netConn),
 		pending:     &bytes.Buffer{},
 		openStreams: map[uint64]struct{}{},
 		wakeWriter:  make(chan struct{}, 1),
 		closing:     make(chan struct{}),
 	}
+	c.reader = bufio.NewReaderSize(arrivalRecorder{c}, readBufferSize)
+	return c
 }
 
 // PeerHello returns the Hello of the peer.
