--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -60,7 +60,7 @@
 	}
 	s.arrivals.observeRequest(incoming.ArrivedAt, s.now)
 	c := s.classes[incoming.Class]
-	c.longestWait = max(c.longestWait, incoming.ExpiresAt-incoming.ArrivedAt)
+	c.longestWait = max(c.longestWait, incoming.ExpiresAt-s.now)
 	r := &request{Request: incoming, class: c, volume: s.volumeFor(incoming)}
 	r.objectiveAt = s.objectiveTime(r)
 	r.Units = max(incoming.Units, 1)
@@ -89,15 +89,15 @@
 
 // objectiveTime returns when a request's latency objective ends. The objective of a client's retry counts
 // from its first try, which is assumed to have had the longest wait that clients of the class allow. It
-// counts from its arrival for a request with less time than the objective, which is a first try with a short
+// counts from now for a request with less time left than the objective, which is a first try with a short
 // timeout or a retry so close to its deadline that the choice has little effect; and, where clients mark
 // their retries, for all unmarked requests.
 func (s *Scheduler) objectiveTime(r *request) time.Duration {
 	at := r.ExpiresAt
 	if objective := r.class.LatencyObjective; objective > 0 {
 		at = r.ExpiresAt - r.class.longestWait + objective
-		if r.ExpiresAt-r.ArrivedAt < objective || (s.settings.RetriesMarked && !r.Retry) {
-			at = r.ArrivedAt + objective
+		if r.ExpiresAt-s.now < objective || (s.settings.RetriesMarked && !r.Retry) {
+			at = s.now + objective
 		}
 	}
 	// An instance that has received only retries underestimates the longest wait, so the end would be too
