Let an answer that has arrived take precedence over its time-out after a hold-up

What callers saw: an attempt's answer arrived within its time while the process was held up. Once the process went on, the request was answered as not served in some cases, although the answer lay in the socket and the client waited.

The loop processes messages before timers, so that an answer takes precedence over a time-out due in the same batch; but an answer is a message only once its connection's goroutine has read it. After a hold-up the loop may run first.

Fix: when an attempt's time is up, the loop asks the driver whether something has arrived on its connection that was not reported yet (unread, being read, or read). If so, and if the client still waits then, the attempt is given 10 ms, once. Where nothing has arrived, it ends as before. Both drivers tell.

TestServe_EndsOnlyTheBadConnection closes the sending side through the method instead of through *net.TCPConn, as the connection is an *arrival.Conn now.

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -38,7 +38,9 @@
 	err          error
 }
 
-func newConn(tcp *net.TCPConn) (*Conn, error) {
+// NewConn returns a Conn for a connection of any origin, and takes ownership of it. Unless the kernel was set
+// to record times of arrival, data counts as having arrived when it is read.
+func NewConn(tcp *net.TCPConn) (*Conn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		tcp.Close()
--- a/internal/arrival/listener.go
+++ b/internal/arrival/listener.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(tcp)
+	return NewConn(tcp)
 }
 
 // Close stops listening. Connections that were accepted stay open.
--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -19,9 +19,14 @@
 	startedAt     time.Duration
 	deadline      time.Duration
 	timeout       *timer
+	isProlonged   bool // its time-out was postponed for an unread answer
 	ended         bool
 }
 
+// unreadAnswerTime is the time that a driver has to read an answer that has arrived when its attempt's time
+// is up.
+const unreadAnswerTime = 10 * time.Millisecond
+
 // startAttempt starts an attempt. Its deadline follows from send.Timeout and is never after the request's
 // expiry. The scheduler sends the members of one operation consecutively, those after the first with it as
 // Leader; dispatch then passes the operation to the upstream.
@@ -49,7 +54,20 @@
 		l.planner.AttemptSent(r.id)
 	}
 	l.joinOperation(a, send.Leader)
-	a.timeout = l.timers.set(a.deadline, func() { l.abort(a, scheduler.TimedOut) })
+	a.timeout = l.timers.set(a.deadline, func() { l.timeOut(a) })
+}
+
+// timeOut ends an attempt whose time is up. If the process did not run for a while, its answer may have
+// arrived and be unread: then the attempt is given unreadAnswerTime once, provided that the client still
+// waits then.
+func (l *loop) timeOut(a *attempt) {
+	until := l.now + unreadAnswerTime
+	if !a.isProlonged && until < a.request.expiresAt && l.drivers.Upstream.HasUnreadAnswer(a.operation) {
+		a.isProlonged = true
+		a.timeout = l.timers.set(until, func() { l.timeOut(a) })
+		return
+	}
+	l.abort(a, scheduler.TimedOut)
 }
 
 // joinOperation adds an attempt to the last undispatched operation if leader is the ID of that operation's
--- a/internal/daemon/drivers.go
+++ b/internal/daemon/drivers.go
@@ -38,6 +38,9 @@
 	Cancel(operation *Operation)
 	// CancelMember ends one member of an operation while other members still wait. The index counts from 0.
 	CancelMember(operation *Operation, index int)
+	// HasUnreadAnswer reports whether something has arrived on an operation's connection that may be its
+	// answer and was not passed to EventLoop.OperationEnded yet.
+	HasUnreadAnswer(operation *Operation) bool
 	// CheckHealth sends a health check to a node. EventLoop.ReportHealthCheck receives the result.
 	CheckHealth(server scheduler.Server)
 	// CloseIdle closes the connections to a node on which nothing is in flight.
--- a/internal/daemon/held_up_test.go
+++ b/internal/daemon/held_up_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"landingpaddle/internal/proto"
+	"landingpaddle/scheduler"
 )
 
 // holdGate suspends an instance while it is held.
@@ -75,3 +76,64 @@
 		}
 	}
 }
+
+// Guards against an answer that counts as too late because the instance was held up: it had arrived before
+// the time-out of its attempt.
+func TestUpstreamPool_AnswerUnreadDuringHoldUpMeetsTimeout(t *testing.T) {
+	const rounds = 6
+	env, gate := newTestEnvironment(t), &holdGate{}
+	env.addNode(0, echoAfter(330*time.Millisecond))
+	env.start(func(cfg *Config) {
+		cfg.Hooks.Gate = gate.wait
+		cfg.Site.Classes[0].LatencyObjective = 400 * time.Millisecond
+	})
+	env.awaitLog("node listed")
+	client := env.connectClient()
+	for round := range rounds {
+		stream := client.sendRequest(nil)
+		time.Sleep(300 * time.Millisecond)
+		gate.mu.Lock()
+		time.Sleep(140 * time.Millisecond)
+		gate.mu.Unlock()
+		if answer := client.awaitAnswer(stream); answer.Code != proto.OK {
+			t.Errorf("round %d: got answer %+v, want OK", round, answer)
+		}
+	}
+}
+
+// An attempt whose answer may be unread is given more time once, if its client still waits then.
+func TestEventLoop_ProlongsAttemptWithUnreadAnswer(t *testing.T) {
+	const timeLeft = 500 * time.Millisecond
+	for name, test := range map[string]struct {
+		hasUnreadAnswer bool
+		expiresAfter    time.Duration // after the time-out
+		want            bool
+	}{
+		"unread answer":              {true, timeLeft, true},
+		"nothing unread":             {false, timeLeft, false},
+		"client waits no longer":     {true, unreadAnswerTime, false},
+		"client waits hardly longer": {true, unreadAnswerTime + time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			drivers := &stubDrivers{hasUnreadAnswer: test.hasUnreadAnswer}
+			eventLoop := NewEventLoop(EventLoopConfig{})
+			l := newLoop(eventLoop, Drivers{Upstream: drivers, Endpoints: drivers})
+			l.now = eventLoop.Now()
+			call := &Call{Responder: drivers}
+			r := &request{call: call, id: 1, expiresAt: l.now + time.Second + test.expiresAfter}
+			call.requests, l.requests[1] = []*request{r}, r
+			l.startAttempt(scheduler.Send{ID: 1, Timeout: time.Second})
+			l.now += time.Second
+			l.timers.runDue(l.now)
+			if got := drivers.cancelled == 0; got != test.want {
+				t.Fatalf("at the time-out: got prolonged %v, want %v", got, test.want)
+			}
+			l.now += unreadAnswerTime
+			l.timers.runDue(l.now)
+			if drivers.cancelled != 1 || eventLoop.Stats.TimedOut.Load() != 1 {
+				t.Errorf("later: got %d attempts cancelled and %d timed out, want 1 each", drivers.cancelled,
+					eventLoop.Stats.TimedOut.Load())
+			}
+		})
+	}
+}
--- a/internal/daemon/stub_drivers_test.go
+++ b/internal/daemon/stub_drivers_test.go
@@ -11,6 +11,8 @@
 	sent      []*Operation
 	cancelled int
 	answers   []proto.Answer
+
+	hasUnreadAnswer bool // what HasUnreadAnswer reports
 }
 
 func (d *stubDrivers) Send(operation *Operation) { d.sent = append(d.sent, operation) }
@@ -19,6 +21,8 @@
 
 func (d *stubDrivers) CancelMember(*Operation, int) {}
 
+func (d *stubDrivers) HasUnreadAnswer(*Operation) bool { return d.hasUnreadAnswer }
+
 func (d *stubDrivers) CheckHealth(scheduler.Server) {}
 
 func (d *stubDrivers) CloseIdle(scheduler.Server) {}
--- a/internal/daemon/upstream_connection.go
+++ b/internal/daemon/upstream_connection.go
@@ -102,6 +102,13 @@
 	_ = stream.connection.conn.Send(proto.TypeCancel, stream.id, nil, nil)
 }
 
+// HasUnreadAnswer reports whether anything on the operation's connection may be unread. The connection
+// carries the answers to other operations too.
+func (p *upstreamPool) HasUnreadAnswer(operation *Operation) bool {
+	stream, ok := operation.DriverState.(upstreamStream)
+	return ok && stream.connection.conn.HasUnhandled()
+}
+
 // CancelMember notifies the node that one of an operation's members no longer waits.
 func (p *upstreamPool) CancelMember(operation *Operation, index int) {
 	stream, ok := operation.DriverState.(upstreamStream)
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/daemon"
 	"landingpaddle/internal/http1"
 	"landingpaddle/internal/proto"
@@ -34,9 +35,10 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 
-	mu     sync.Mutex
-	conn   net.Conn // nil: no connection is bound to the attempt
-	isOver bool     // it was cancelled, or its result is about to be reported
+	mu        sync.Mutex
+	conn      net.Conn // nil: no connection is bound to the attempt
+	hasResult bool     // its result is known, though not reported yet
+	isOver    bool     // it was cancelled, or its result is about to be reported
 }
 
 // attemptResult is the result of an attempt. By the protocol, a request whose last byte was not written has
@@ -111,6 +113,7 @@
 	}
 	connection.conn.SetReadDeadline(time.Now().Add(max(2*timeLeft, minReadTimeout)))
 	response, err := connection.reader.ReadResponse()
+	a.recordResult()
 	if err != nil {
 		a.pool.discard(connection)
 		a.reportInvalid(entry, err)
@@ -136,6 +139,24 @@
 	return result
 }
 
+// recordResult records that the attempt's response was read, or that reading it failed.
+func (a *attempt) recordResult() {
+	a.mu.Lock()
+	a.hasResult = true
+	a.mu.Unlock()
+}
+
+// hasUnreadAnswer reports whether the loop may not know yet of a response that has arrived.
+func (a *attempt) hasUnreadAnswer() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hasResult {
+		return true
+	}
+	conn, ok := a.conn.(*arrival.Conn)
+	return ok && (conn.HasUnread(time.Time{}) || conn.IsUnhandled(time.Time{}))
+}
+
 func (a *attempt) encodeRequest(host string, timeLeft time.Duration) []byte {
 	header := append(http1.Header{
 		{Name: fieldHost, Value: host},
--- a/internal/platform/held_up_test.go
+++ b/internal/platform/held_up_test.go
@@ -202,3 +202,34 @@
 		t.Errorf("got writes in the order %v, want %v", got, want)
 	}
 }
+
+// Guards against an answer that counts as too late because the process was held up: it had arrived before the
+// time-out of its attempt, and was unread when the process went on.
+func TestAttempt_AnswerUnreadDuringHoldUpMeetsTimeout(t *testing.T) {
+	const (
+		rounds     = 8
+		answerTime = 330 * time.Millisecond // the attempt's time-out is 400 ms
+		holdTime   = 300 * time.Millisecond
+		heldFor    = 140 * time.Millisecond
+	)
+	diskServer := newFakeDiskServer(t, func(n int, request *receivedRequest) []byte {
+		time.Sleep(answerTime)
+		return echoID(n, request)
+	})
+	process := startGatewayProcess(t, diskServer)
+	served := 0
+	for round := range rounds {
+		client := process.dial()
+		id := fmt.Sprintf("a%d", round)
+		client.send(readText(id))
+		time.Sleep(holdTime)
+		process.holdUp(heldFor)
+		status, _, body := client.readAnswer()
+		if status == 200 && body == id {
+			served++
+		}
+	}
+	if served != rounds {
+		t.Errorf("got %d of %d requests served, want all", served, rounds)
+	}
+}
--- a/internal/platform/upstream.go
+++ b/internal/platform/upstream.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// HasUnreadAnswer implements daemon.Upstream.
+func (p *upstreamPool) HasUnreadAnswer(operation *daemon.Operation) bool {
+	a, ok := operation.DriverState.(*attempt)
+	return ok && a.hasUnreadAnswer()
+}
+
 // CancelMember does nothing: requests over HTTP are not merged, so every operation has one member.
 func (p *upstreamPool) CancelMember(*daemon.Operation, int) {}
 
--- a/internal/platform/upstream_conn.go
+++ b/internal/platform/upstream_conn.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/http1"
 	"landingpaddle/scheduler"
 )
@@ -140,6 +141,9 @@
 	defer cancel()
 	p.counters.dialed.Add(1)
 	conn, err := p.connect(ctx, "tcp4", address)
+	if err == nil {
+		conn, err = withArrivals(conn)
+	}
 	if err != nil {
 		p.freeConnection()
 		return nil, err
@@ -149,6 +153,16 @@
 		isUnused: true}, nil
 }
 
+// withArrivals lets a TCP connection tell whether it has unread data. Other connections are returned
+// unchanged.
+func withArrivals(conn net.Conn) (net.Conn, error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	return arrival.NewConn(tcp)
+}
+
 func (p *upstreamPool) reserveConnection() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proto/handshake.go
+++ b/internal/proto/handshake.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"landingpaddle/internal/arrival"
 )
 
 // Dial connects to a TCP address and performs the handshake.
@@ -15,7 +17,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return Handshake(ctx, netConn, cfg)
+	conn, err := arrival.NewConn(netConn.(*net.TCPConn))
+	if err != nil {
+		return nil, err
+	}
+	return Handshake(ctx, conn, cfg)
 }
 
 // Handshake performs the handshake on a new connection, which either side may have opened. It takes ownership
--- a/internal/proto/serve_test.go
+++ b/internal/proto/serve_test.go
@@ -27,7 +27,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			bad := dial(t, addr, Config{})
 			bad.netConn.Write(test.sent)
-			bad.netConn.(*net.TCPConn).CloseWrite()
+			bad.netConn.(interface{ CloseWrite() error }).CloseWrite()
 			if err := <-ended; !errors.Is(err, test.want) {
 				t.Error("the connection did not end with its cause, but with:", err)
 			}
