Count data as old until its arrival is recorded, and an empty socket from before the look

While a connection's first data was being read, LastArrival still told the time of the accept, so a collection after a hold-up could miss a request on a new connection in that moment; now it counts as old until its time is recorded (TestConn_TellsUnhandledData fails without it). And the time at which a socket was found empty was taken after the look: data that came between the two, in a hold-up say, would have been taken as having come after it. It is taken before now; no test can stop the process between the two instructions.

The checks of a connection without times of arrival stand in one place, an empty case of a switch is gone, and the benchmarks share their set-up.

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -12,6 +12,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// longAgo is before the arrival of any data that may still be unread.
+const longAgo = -24 * time.Hour
+
 // Conn is a TCP connection that tells when the data read from it arrived. Only one goroutine may call Read at
 // a time; all other methods may be called from any goroutine.
 type Conn struct {
@@ -49,6 +52,7 @@
 	now := time.Now()
 	c := &Conn{Conn: tcp, raw: raw, base: now}
 	c.receive = c.receiveInto
+	c.lastArrival.Store(int64(longAgo))
 	return c, nil
 }
 
@@ -93,11 +97,12 @@
 func (c *Conn) receiveInto(descriptor uintptr) (done bool) {
 	c.isUnhandled.Store(true) // before the data disappears from the socket
 	for {
+		began := time.Now() // data may arrive as soon as the socket was found empty
 		c.received = c.receiveOnce(int(descriptor))
 		switch {
 		case errors.Is(c.received.err, syscall.EINTR):
 		case errors.Is(c.received.err, syscall.EAGAIN):
-			c.emptyAt = time.Now()
+			c.emptyAt = began
 			c.isUnhandled.Store(false)
 			return false
 		case !c.isUnrecorded && isUnsupported(c.received.err):
@@ -142,7 +147,7 @@
 }
 
 // LastArrival returns when the last byte of the data read last arrived, with a monotonic reading. Before the
-// first read it is when the connection was accepted.
+// first read it is long ago: data that is being read counts as old until its time of arrival is recorded.
 func (c *Conn) LastArrival() time.Time { return c.base.Add(time.Duration(c.lastArrival.Load())) }
 
 // BeginHandling states that the reader works on data that it read earlier.
--- a/internal/arrival/conn_test.go
+++ b/internal/arrival/conn_test.go
@@ -204,6 +204,9 @@
 		}
 	}
 	expect("nothing sent", now(), false)
+	conn.BeginHandling() // as at the beginning of a read, which may have taken the data already
+	expect("being read for the first time", time.Now().Add(-time.Hour), true)
+	conn.FinishHandling()
 	sentAt := write(t, client, "data")
 	time.Sleep(unreadFor)
 	expect("unread", now(), true)
@@ -289,17 +292,7 @@
 
 // benchmarkRead measures one write and one read of a short request.
 func benchmarkRead(b *testing.B, listener net.Listener) {
-	defer listener.Close()
-	client, err := net.Dial("tcp4", listener.Addr().String())
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer client.Close()
-	conn, err := listener.Accept()
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer conn.Close()
+	client, conn := benchmarkPair(b, listener)
 	request, buffer := make([]byte, 300), make([]byte, 4096)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -318,17 +311,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer listener.Close()
-	client, err := net.Dial("tcp4", listener.Addr().String())
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer client.Close()
-	conn, err := listener.Accept()
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer conn.Close()
+	_, conn := benchmarkPair(b, listener)
 	before := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -337,3 +320,18 @@
 		}
 	}
 }
+
+// benchmarkPair returns a client's connection and the accepted end of it, and closes the listener.
+func benchmarkPair(b *testing.B, listener net.Listener) (client, accepted net.Conn) {
+	b.Helper()
+	defer listener.Close()
+	client, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	if accepted, err = listener.Accept(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { client.Close(); accepted.Close() })
+	return client, accepted
+}
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -51,6 +51,20 @@
 		stateSince: time.Now()}
 }
 
+// beginHandling states that a request is being read that is not submitted yet.
+func (c *clientConn) beginHandling() {
+	if c.arrivals != nil {
+		c.arrivals.BeginHandling()
+	}
+}
+
+// finishHandling states that the request read last is submitted.
+func (c *clientConn) finishHandling() {
+	if c.arrivals != nil {
+		c.arrivals.FinishHandling()
+	}
+}
+
 // writeResponse writes one response within writeTimeout.
 func (c *clientConn) writeResponse(status int, header http1.Header, body []byte) error {
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -68,9 +82,7 @@
 	}
 	client.state, client.stateSince = stateReading, time.Now()
 	client.hasPipelined = false
-	if client.arrivals != nil {
-		client.arrivals.BeginHandling() // the request may have been read ahead
-	}
+	client.beginHandling() // the request may have been read ahead
 	client.conn.SetReadDeadline(startedAt.Add(requestTimeout))
 }
 
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -96,9 +96,7 @@
 		f.reject(request, reason)
 	} else {
 		f.loop.Submit(request.call)
-		if client.arrivals != nil {
-			client.arrivals.FinishHandling()
-		}
+		client.finishHandling()
 		if !f.readAheadUntilAnswered(client) {
 			f.loop.CancelCall(request.call)
 			<-request.answered
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -55,12 +55,10 @@
 			f.linger(client)
 			return false
 		}
-		switch err := client.reader.WaitReadable(); {
-		case err == nil:
-		case isTimeout(err):
-			// The connection ends unless data arrived at the same moment.
-			f.requestClose(client)
-		default:
+		err := client.reader.WaitReadable()
+		if isTimeout(err) {
+			f.requestClose(client) // the connection ends unless data arrived at the same moment
+		} else if err != nil {
 			f.countIfSilent(client)
 			return false // the client has disconnected
 		}
