Native protocol: see an answer whose result waits in the inbox at its time-out

Cause: the loop takes its messages, then the connection's goroutine reads the answer, puts the result into the inbox and finds nothing more to read; then the loop runs the time-out, and the connection has nothing unread any more. On the platform's sockets the attempt itself remembers that its response was read.

Fix: an operation that is no longer in flight on its connection has its result in the inbox. The lock that was missing in the test beside it, which the race detector reported, is there.

--- a/internal/daemon/held_up_test.go
+++ b/internal/daemon/held_up_test.go
@@ -48,7 +48,9 @@
 		clients = append(clients, client)
 	}
 	for round := range uint64(rounds) {
+		mu.Lock()
 		received = nil
+		mu.Unlock()
 		gate.mu.Lock()
 		var want []uint64
 		for i, client := range slices.Backward(clients) {
--- a/internal/daemon/upstream_connection.go
+++ b/internal/daemon/upstream_connection.go
@@ -102,11 +102,15 @@
 	_ = stream.connection.conn.Send(proto.TypeCancel, stream.id, nil, nil)
 }
 
-// HasUnreadAnswer reports whether anything on the operation's connection may be unread. The connection
-// carries the answers to other operations too.
+// HasUnreadAnswer reports whether anything on the operation's connection may be unread, or the operation's
+// result is in the inbox. The connection carries the answers to other operations too.
 func (p *upstreamPool) HasUnreadAnswer(operation *Operation) bool {
 	stream, ok := operation.DriverState.(upstreamStream)
-	return ok && stream.connection.conn.HasUnhandled()
+	if !ok {
+		return false
+	}
+	// The order matters: an answer that is handled after the first check is found by the second.
+	return stream.connection.conn.HasUnhandled() || stream.connection.get(stream.id) == nil
 }
 
 // CancelMember notifies the node that one of an operation's members no longer waits.
