Never let the arrival of later data of a connection come before that of earlier data

Seen: TestRunner_FaultScenarioKeepsTheRules failed once in a run of all tests: rule order, request 4810 sent before the earlier request 4793 of the same key, on one connection of the native protocol. It failed again beside 12 busy loops.

Cause: one time of the kernel's clock, converted twice, differs by some nanoseconds, since the wall and the monotonic clock are not read at one moment. Of two requests that were read one after the other from one connection, the later one could so get the earlier time, and a key's queue is in the order of these times. A trace of that scenario counted 604 such pairs, up to 344 ns.

Fix: the recorded time never decreases on a connection. Requests with equal times stay in the order in which they were read.

TestConn_ArrivalsNeverDecrease fails without it.

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -127,13 +127,14 @@
 	return errors.Is(err, syscall.ENOSYS) || errors.Is(err, syscall.EOPNOTSUPP)
 }
 
-// recordArrival records when the last byte of the data just read arrived.
+// recordArrival records when the last byte of the data just read arrived. That is never before the arrival of
+// data read earlier: two conversions of one time of the kernel's clock differ by some nanoseconds.
 func (c *Conn) recordArrival(now time.Time) {
 	at := now
 	if recordedAt, ok := parseTimestamp(c.control[:c.received.controlCount]); ok {
 		at = clampArrival(recordedAt, c.emptyAt, now)
 	}
-	c.lastArrival.Store(int64(at.Sub(c.base)))
+	c.lastArrival.Store(max(c.lastArrival.Load(), int64(at.Sub(c.base))))
 }
 
 // clampArrival converts a time of the kernel's wall clock into one with a monotonic reading, which is not
--- a/internal/arrival/conn_test.go
+++ b/internal/arrival/conn_test.go
@@ -180,6 +180,19 @@
 	}
 }
 
+// Guards against messages of one connection that change places: the time of data read later must not be
+// before that of data read earlier, however the kernel's time is converted.
+func TestConn_ArrivalsNeverDecrease(t *testing.T) {
+	_, conn := connectedPair(t, nil)
+	now := time.Now()
+	conn.recordArrival(now)
+	first := conn.LastArrival()
+	conn.recordArrival(now.Add(-time.Nanosecond))
+	if second := conn.LastArrival(); second.Before(first) {
+		t.Errorf("got an arrival %v before the one recorded earlier, want none", first.Sub(second))
+	}
+}
+
 func TestParseTimestamp_RejectsOtherMessages(t *testing.T) {
 	for name, control := range map[string][]byte{
 		"none":         nil,
