One conversion and one check for times of arrival; tests wait until they are recorded

Found by rereading the change, behaviour as before: - Both frontends converted a time of arrival, with the same fallback: EventLoop.ArrivalTime does it for both. - Three places asked for unread data, then for unhandled data, in an order that matters: arrival.Conn.HasUnhandled holds it. - Connections to disk servers recorded arrivals for each response that nobody asks for, since they tell them too: http1.Reader records only where RecordArrivals was called, for clients. - Two test fixtures dialed a client in the same way.

TestConn_TellsWhenUnreadDataArrived failed once: no time was recorded. A probe shows why: 0.27 ms after the first socket of the machine had asked for times, 1 of 3 first packets had none; 4 ms after, all had. The packages whose tests look at times now wait for the first recorded one (arrivaltest.RunTests); all assertions stay, and one hint in a comment is gone. arrival.Listen says so.

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -159,15 +159,20 @@
 func (c *Conn) FinishHandling() { c.isUnhandled.Store(false) }
 
 // IsUnhandled reports whether data, the last byte of which arrived before the given time, may have been read
-// by a goroutine that has not finished its work on it. The zero time stands for any time. Call HasUnread
-// first: data that is read after that call is found by this one.
+// by a goroutine that has not finished its work on it. The zero time stands for any time.
 func (c *Conn) IsUnhandled(before time.Time) bool {
 	return c.isUnhandled.Load() && (before.IsZero() || c.LastArrival().Before(before))
 }
 
-// HasUnread reports whether the socket holds data, the last byte of which arrived before the given time. The
+// HasUnhandled reports whether such data is unread or IsUnhandled.
+func (c *Conn) HasUnhandled(before time.Time) bool {
+	// The order matters: data that is read after the first check is found by the second.
+	return c.hasUnread(before) || c.IsUnhandled(before)
+}
+
+// hasUnread reports whether the socket holds data, the last byte of which arrived before the given time. The
 // zero time stands for any time.
-func (c *Conn) HasUnread(before time.Time) (unread bool) {
+func (c *Conn) hasUnread(before time.Time) (unread bool) {
 	err := c.raw.Control(func(descriptor uintptr) {
 		var peeked [1]byte
 		count, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/internal/arrival/conn_test.go
+++ b/internal/arrival/conn_test.go
@@ -8,12 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"go.uber.org/goleak"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
-
 const (
 	// unreadFor is how long the tests leave data unread.
 	unreadFor = 80 * time.Millisecond
@@ -73,7 +69,7 @@
 
 func TestConn_TellsWhenUnreadDataArrived(t *testing.T) {
 	client, conn := connectedPair(t, nil)
-	for range 3 { // the kernel may begin to record times a moment after the first listener asks for it
+	for range 3 {
 		sentAt := write(t, client, "data")
 		time.Sleep(unreadFor)
 		read(t, conn, "data")
@@ -212,7 +208,7 @@
 	now := func() time.Time { return time.Now().Add(tick) }
 	expect := func(state string, before time.Time, want bool) {
 		t.Helper()
-		if got := conn.HasUnread(before) || conn.IsUnhandled(before); got != want {
+		if got := conn.HasUnhandled(before); got != want {
 			t.Errorf("%s: got unhandled %v, want %v", state, got, want)
 		}
 	}
@@ -319,7 +315,7 @@
 }
 
 // What checking one idle connection for unread data costs.
-func BenchmarkConn_HasUnread(b *testing.B) {
+func BenchmarkConn_HasUnhandled(b *testing.B) {
 	listener, err := Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -328,7 +324,7 @@
 	before := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		if conn.(*Conn).HasUnread(before) {
+		if conn.(*Conn).HasUnhandled(before) {
 			b.Fatal("got unread data, want none")
 		}
 	}
--- a/internal/arrival/doc.go
+++ b/internal/arrival/doc.go
@@ -4,6 +4,6 @@
 // be much later, and after a delay of the process many goroutines read in no particular order, so it tells
 // neither when a message arrived nor which one arrived first.
 //
-// Connections come from a [Listener], because the kernel must be set to record times before the first segment
-// arrives: a client may send data before its connection is accepted.
+// Connections of clients come from a [Listener], because the kernel must be set to record times before the
+// first segment arrives: a client may send data before its connection is accepted.
 package arrival
--- a/internal/arrival/listener.go
+++ b/internal/arrival/listener.go
@@ -17,7 +17,8 @@
 var _ net.Listener = (*Listener)(nil)
 
 // Listen listens on a TCP address. If the kernel does not record times of arrival, data counts as having
-// arrived when it is read.
+// arrived when it is read. It begins to record them some milliseconds after the first socket of the machine
+// asks for them.
 func Listen(network, address string) (*Listener, error) {
 	config := net.ListenConfig{Control: recordArrivals}
 	listener, err := config.Listen(context.Background(), network, address)
--- /dev/null
+++ b/internal/arrival/main_test.go
@@ -0,0 +1,9 @@
+package arrival_test
+
+import (
+	"testing"
+
+	"landingpaddle/internal/arrival/arrivaltest"
+)
+
+func TestMain(m *testing.M) { arrivaltest.RunTests(m) }
--- a/internal/daemon/client_listener.go
+++ b/internal/daemon/client_listener.go
@@ -136,7 +136,7 @@
 		stream:     frame.Stream,
 		payload:    frame.Payload,
 	}
-	receivedAt := l.receivedAt(connection)
+	receivedAt := l.instance.ArrivalTime(connection.conn.ReceivedAt())
 	if err := frame.Decode(&request.header); err != nil {
 		return err
 	}
@@ -157,15 +157,6 @@
 	return nil
 }
 
-// receivedAt returns when the last byte of the frame that is being handled arrived, by the scheduler's clock.
-func (l *clientListener) receivedAt(connection *clientConnection) time.Duration {
-	arrivedAt := connection.conn.ReceivedAt()
-	if arrivedAt.IsZero() { // the connection does not tell
-		return l.instance.Now()
-	}
-	return l.instance.TimeOf(arrivedAt)
-}
-
 // HasPending reports false: a client sends its first request only once its connection is accepted and its
 // handshake answered.
 func (l *clientListener) HasPending() bool { return false }
--- a/internal/daemon/event_loop.go
+++ b/internal/daemon/event_loop.go
@@ -131,8 +131,14 @@
 // Now returns the time of the scheduler's clock.
 func (e *EventLoop) Now() time.Duration { return clockStart + time.Since(e.startedAt) }
 
-// TimeOf returns a time with a monotonic reading as a time of the scheduler's clock.
-func (e *EventLoop) TimeOf(at time.Time) time.Duration { return clockStart + at.Sub(e.startedAt) }
+// ArrivalTime returns a time of arrival as a time of the scheduler's clock. The zero time stands for now: the
+// connection does not tell when its data arrived.
+func (e *EventLoop) ArrivalTime(at time.Time) time.Duration {
+	if at.IsZero() {
+		return e.Now()
+	}
+	return clockStart + at.Sub(e.startedAt)
+}
 
 // AtTime returns a time of the scheduler's clock as a time with a monotonic reading.
 func (e *EventLoop) AtTime(at time.Duration) time.Time { return e.startedAt.Add(at - clockStart) }
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"go.uber.org/goleak"
+	"landingpaddle/internal/arrival/arrivaltest"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) { arrivaltest.RunTests(m) }
--- a/internal/http1/arrivals_test.go
+++ b/internal/http1/arrivals_test.go
@@ -41,6 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			source := &piecewiseSource{pieces: test.pieces}
 			reader := NewReader(source, testLimits)
+			reader.RecordArrivals(source)
 			for number, want := range test.want {
 				readOneRequest(t, reader)
 				if got := reader.ConsumedAt(); got.Unix() != want {
@@ -70,6 +71,7 @@
 	const head, count = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", maxPieces + 4
 	source := &piecewiseSource{pieces: strings.Split(strings.Repeat(head+"|", count-1)+head, "|")}
 	reader := NewReader(source, testLimits)
+	reader.RecordArrivals(source)
 	for range count {
 		if err := reader.ReadAhead(count * len(head)); err != nil {
 			t.Fatal(err)
@@ -91,7 +93,7 @@
 	}
 }
 
-func TestReader_TellsNoArrivalOfOtherSources(t *testing.T) {
+func TestReader_TellsNoArrivalUnlessRecorded(t *testing.T) {
 	reader := newTestReader("GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
 	if at := reader.ConsumedAt(); !at.IsZero() {
 		t.Errorf("before a request: got %v, want the zero time", at)
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -18,11 +18,15 @@
 	arrivals   arrival.Log
 }
 
-// NewReader returns a Reader that reads from source. ConsumedAt needs an arrival.Source.
+// NewReader returns a Reader that reads from source.
 func NewReader(source io.Reader, limits Limits) *Reader {
-	return &Reader{source: source, limits: limits, arrivals: arrival.NewLog(source)}
+	return &Reader{source: source, limits: limits}
 }
 
+// RecordArrivals makes ConsumedAt tell when messages arrived at the source. It must be called before the
+// first read.
+func (r *Reader) RecordArrivals(source arrival.Source) { r.arrivals = arrival.NewLog(source) }
+
 // Buffered returns the number of bytes that were read but not yet consumed as part of a message.
 func (r *Reader) Buffered() int { return r.end - r.start }
 
--- a/internal/platform/arrivals.go
+++ b/internal/platform/arrivals.go
@@ -42,5 +42,5 @@
 	case state == stateIdle && isBuffered:
 		return true // the session is about to take it from the read buffer
 	}
-	return client.arrivals.HasUnread(before) || client.arrivals.IsUnhandled(before)
+	return client.arrivals.HasUnhandled(before)
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -154,7 +154,7 @@
 		return true
 	}
 	conn, ok := a.conn.(*arrival.Conn)
-	return ok && (conn.HasUnread(time.Time{}) || conn.IsUnhandled(time.Time{}))
+	return ok && conn.HasUnhandled(time.Time{})
 }
 
 func (a *attempt) encodeRequest(host string, timeLeft time.Duration) []byte {
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -46,9 +46,12 @@
 
 func newClientConn(conn net.Conn) *clientConn {
 	limits := http1.Limits{MaxHead: maxClientHead, MaxBody: maxBody}
-	arrivals, _ := conn.(*arrival.Conn)
-	return &clientConn{conn: conn, reader: http1.NewReader(conn, limits), arrivals: arrivals,
-		stateSince: time.Now()}
+	client := &clientConn{conn: conn, reader: http1.NewReader(conn, limits), stateSince: time.Now()}
+	if arrivals, ok := conn.(*arrival.Conn); ok {
+		client.arrivals = arrivals
+		client.reader.RecordArrivals(arrivals)
+	}
+	return client
 }
 
 // beginHandling states that a request is being read that is not submitted yet.
@@ -115,15 +118,6 @@
 	return closeAfterAnswer || (f.closing || client.closeRequested) && !client.hasPipelined
 }
 
-// receivedAt returns when the last byte of the request just read arrived, by the scheduler's clock.
-func (f *frontend) receivedAt(client *clientConn) time.Duration {
-	arrivedAt := client.reader.ConsumedAt()
-	if arrivedAt.IsZero() { // the connection does not tell
-		return f.loop.Now()
-	}
-	return f.loop.TimeOf(arrivedAt)
-}
-
 // accountBuffer counts the part of a read buffer that exceeds the limit of a head as body bytes.
 func (f *frontend) accountBuffer(client *clientConn) {
 	bufferBytes := max(0, int64(client.reader.BufferSize())-maxClientHead)
--- a/internal/platform/gateway_fixture_test.go
+++ b/internal/platform/gateway_fixture_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
+	"landingpaddle/internal/arrival/arrivaltest"
 )
 
 func TestMain(m *testing.M) {
@@ -23,7 +23,7 @@
 		}
 		return
 	}
-	goleak.VerifyTestMain(m)
+	arrivaltest.RunTests(m)
 }
 
 const (
--- a/internal/platform/held_up_test.go
+++ b/internal/platform/held_up_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -99,11 +98,7 @@
 
 func (p *gatewayProcess) dial() *testClient {
 	p.t.Helper()
-	conn, err := net.Dial("tcp4", p.address)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	return newTestClient(p.t, conn)
+	return dialTestClient(p.t, p.address)
 }
 
 // withOrderedWrites returns a function that configures the class write to be ordered by key.
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -46,7 +46,7 @@
 		request.body = body
 	}
 	request.call.Responder = request
-	request.call.ReceivedAt = f.receivedAt(client)
+	request.call.ReceivedAt = f.loop.ArrivalTime(client.reader.ConsumedAt())
 	return request, nil
 }
 
--- a/internal/platform/test_client_test.go
+++ b/internal/platform/test_client_test.go
@@ -25,11 +25,16 @@
 
 func (f *gatewayFixture) dial() *testClient {
 	f.t.Helper()
-	conn, err := net.Dial("tcp4", f.address)
+	return dialTestClient(f.t, f.address)
+}
+
+func dialTestClient(t *testing.T, address string) *testClient {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
 	if err != nil {
-		f.t.Fatal(err)
+		t.Fatal(err)
 	}
-	return newTestClient(f.t, conn)
+	return newTestClient(t, conn)
 }
 
 func newTestClient(t *testing.T, conn net.Conn) *testClient {
--- a/internal/proto/conn_arrivals.go
+++ b/internal/proto/conn_arrivals.go
@@ -24,5 +24,5 @@
 // arrived is not known, as others may have arrived after it.
 func (c *Conn) HasUnhandled() bool {
 	conn, ok := c.netConn.(*arrival.Conn)
-	return ok && (conn.HasUnread(time.Time{}) || conn.IsUnhandled(time.Time{}))
+	return ok && conn.HasUnhandled(time.Time{})
 }
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -18,7 +18,7 @@
 type arrivals struct {
 	enabled     bool
 	lateSince   time.Duration // clock value of the last sign that requests may be unread
-	collectedAt time.Duration // clock value at which the last collection that is complete began
+	collectedAt time.Duration // clock value at which the last collection that is over began
 	startedAt   time.Duration // clock value at which the present collection began
 	until       time.Duration // clock value at which the present collection is given up
 	collecting  bool
