--- /dev/null
+++ b/review/standin2/world.go
@@ -0,0 +1,41 @@
+package main
+
+import "fmt"
+
+// startWorld starts disk servers, one a cell, discovery and a scheduler. address gives the address at which
+// the scheduler reaches a disk server; nil: its own.
+func startWorld(rec *recorder, cells int, handler func(*diskRequest) bool,
+	address func(*disk) (string, error)) (*gateway, []*disk, error) {
+	var disks []*disk
+	var entries []listed
+	for cell := range cells {
+		server, err := startDisk(rec, cellName(cell), cell, handler)
+		if err != nil {
+			return nil, nil, err
+		}
+		at := server.address
+		if address != nil {
+			if at, err = address(server); err != nil {
+				return nil, nil, err
+			}
+		}
+		disks = append(disks, server)
+		entries = append(entries, serverEntry(server.name, at, cell))
+	}
+	service, err := startDiscovery(rec, entries)
+	if err != nil {
+		return nil, nil, err
+	}
+	g, err := newGateway(rec, service, cells)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := g.start(); err != nil {
+		g.close()
+		return nil, nil, err
+	}
+	if g.hasExited() {
+		return nil, nil, fmt.Errorf("the scheduler ended at its start")
+	}
+	return g, disks, nil
+}
