--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -53,6 +53,9 @@
 	return append(m.head(len(m.body)), m.body...)
 }
 
+// expected returns the body of the answer that a disk server makes for the request.
+func (m *message) expected() []byte { return answerBody(m.method(), m.id, m.extent, m.body) }
+
 func read(extent uint64, shard int, budget time.Duration) *message {
 	return &message{id: newID(), class: "field-read", plan: "operational",
 		extent: fmt.Sprintf("%016x", extent), volume: "00000003b4d60021", shard: shard, units: 2,
--- a/review/standin2/disk.go
+++ b/review/standin2/disk.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -45,7 +46,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
-	stored   map[string]string // by extent: id of the write that was applied last
+	stored   map[string]*diskRequest // by extent: the write that was applied last
 	got      []*diskRequest
 }
 
@@ -55,7 +56,7 @@
 		return nil, err
 	}
 	d := &disk{rec: rec, name: name, cell: cell, address: listener.Addr().String(), handler: handler,
-		listener: listener, conns: map[net.Conn]struct{}{}, stored: map[string]string{}}
+		listener: listener, conns: map[net.Conn]struct{}{}, stored: map[string]*diskRequest{}}
 	go d.accept()
 	return d, nil
 }
@@ -140,6 +141,21 @@
 
 // content returns the id of the write whose content an extent has.
 func (d *disk) content(extent string) string {
+	if stored := d.lastWrite(extent); stored != nil {
+		return stored.id()
+	}
+	return "no write"
+}
+
+// contentLength returns the number of bytes of an extent.
+func (d *disk) contentLength(extent string) int {
+	if stored := d.lastWrite(extent); stored != nil {
+		return len(stored.body)
+	}
+	return 0
+}
+
+func (d *disk) lastWrite(extent string) *diskRequest {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.stored[extent]
@@ -151,7 +167,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if q.method == "PUT" {
-		d.stored[q.extent()] = q.id()
+		d.stored[q.extent()] = q
 	}
 	d.rec.logf("disk %s ran %s %s extent=%s body=%d", d.name, q.method, q.id(), q.extent(), len(q.body))
 }
@@ -191,3 +207,12 @@
 		return q.write(q.ok())
 	}
 }
+
+// isFollowed reports whether something else comes on the connection within a time, or its end.
+func (q *diskRequest) isFollowed(within time.Duration) bool {
+	q.conn.SetReadDeadline(time.Now().Add(within))
+	defer q.conn.SetReadDeadline(time.Time{})
+	_, err := q.reader.Peek(1)
+	var netError net.Error
+	return !errors.As(err, &netError) || !netError.Timeout()
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,7 +17,9 @@
 const maxTime = 110 * time.Second
 
 var cases = map[string]func(*recorder) error{
-	"order": orderCase,
+	"order":  orderCase,
+	"late":   lateCase,
+	"length": lengthCase,
 }
 
 func main() {
