--- a/review/standin2/length.go
+++ b/review/standin2/length.go
@@ -51,7 +51,7 @@
 	length := server.contentLength(m.extent)
 	rec.logf("extent %s has the content of %s, %d bytes", m.extent, server.content(m.extent), length)
 	if stated != len(m.body) && got.status == 200 {
-		rec.breakf("%s stated a length of %d and sent a body of %d bytes; it was served, the extent has %d bytes",
+		rec.breakf("%s stated a length of %d, sent %d bytes and was served; the extent has %d bytes",
 			m.id, stated, len(m.body), length)
 	}
 	if stated == len(m.body) && (got.status != 200 || length != stated) {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 	"order":  orderCase,
 	"late":   lateCase,
 	"length": lengthCase,
+	"short":  shortCase,
 }
 
 func main() {
