--- a/review/standin2/short.go
+++ b/review/standin2/short.go
@@ -69,14 +69,14 @@
 		return false
 	}
 	if isSpoilt {
-		q.waitForEnd()
+		q.waitForEnd(3 * time.Second)
 	}
 	return !isSpoilt
 }
 
-// waitForEnd waits until the scheduler closes the connection, for a while.
-func (q *diskRequest) waitForEnd() {
-	q.conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+// waitForEnd waits until the scheduler closes the connection, for at most a time.
+func (q *diskRequest) waitForEnd(within time.Duration) {
+	q.conn.SetReadDeadline(time.Now().Add(within))
 	var buffer [4096]byte
 	for {
 		if _, err := q.reader.Read(buffer[:]); err != nil {
