--- a/review/standin2/end.go
+++ b/review/standin2/end.go
@@ -15,6 +15,7 @@
 	endHold     = 3575 * time.Millisecond // the hold-up begins
 	endKill     = 3710 * time.Millisecond // SIGKILL: not before 3 s (the longest deadline) and 0.7 s
 	minKill     = 3700 * time.Millisecond
+	maxHoldUp   = 150 * time.Millisecond // "held up for up to 0.15 s"
 )
 
 // endCase restarts a scheduler as planned while disk servers hang, and holds it up for a moment near the end.
@@ -27,7 +28,7 @@
 		q.waitForEnd(5 * time.Second) // a write hangs
 		return false
 	}
-	g, disks, err := startWorld(rec, 4, handler, nil)
+	g, disks, err := startWorld(rec, 4, handler, nil, 0)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/late.go
+++ b/review/standin2/late.go
@@ -24,7 +24,7 @@
 	var copies atomic.Int64
 	g, _, err := startWorld(rec, 4, lateHandler(&copies), func(server *disk) (string, error) {
 		return startLink(server.address, lateLink)
-	})
+	}, 0)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/length.go
+++ b/review/standin2/length.go
@@ -9,7 +9,7 @@
 
 // lengthCase sends writes whose stated length is 0, though a body follows.
 func lengthCase(rec *recorder) error {
-	g, disks, err := startWorld(rec, 4, soundHandler(20*time.Millisecond), nil)
+	g, disks, err := startWorld(rec, 4, soundHandler(20*time.Millisecond), nil, 0)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/order.go
+++ b/review/standin2/order.go
@@ -2,103 +2,113 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	orderRounds = 10
-	orderGap    = 10 * time.Millisecond  // from the older write to the newer one
-	orderBefore = 60 * time.Millisecond  // of the hold-up, before the older write
-	orderAfter  = 5 * time.Millisecond   // of the hold-up, after the newer write
-	maxHoldUp   = 150 * time.Millisecond // "held up for up to 0.15 s"
+	orderRounds  = 5
+	orderCrowd   = 400                    // bad clients that connect and say nothing: "by hundreds"
+	orderSockets = 256                    // descriptors of the scheduler: 256 to 1,024
+	orderGap     = 100 * time.Millisecond // from the older write to the newer one
+	orderSlack   = 50 * time.Millisecond  // by which time limits are longer on sockets
 )
 
-// orderCase sends two writes of one key, one after the other, while the scheduler is held up.
+// orderCase lets one client write an extent on a new connection, and another one 0.1 s later on a kept one,
+// while many others connect and say nothing.
 func orderCase(rec *recorder) error {
-	g, disks, err := startWorld(rec, 4, soundHandler(20*time.Millisecond), nil)
+	g, disks, err := startWorld(rec, 4, soundHandler(20*time.Millisecond), nil, orderSockets)
 	if err != nil {
 		return err
 	}
 	defer g.close()
-	first, err := dialClient(rec, g.listen)
-	if err != nil {
-		return err
-	}
-	second, err := dialClient(rec, g.listen)
+	kept, err := dialClient(rec, g.listen)
 	if err != nil {
 		return err
 	}
 	counted := 0
 	for round := range orderRounds {
-		one, two := first, second
-		if round%2 == 1 {
-			one, two = second, first
-		}
-		ok, err := orderRound(rec, g, disks[round%len(disks)], uint64(0x7f3a0000+round), one, two)
+		ok, err := orderRound(rec, g, disks[round%len(disks)], uint64(0x7f3a0000+round), kept)
 		if err != nil {
 			return err
 		}
 		if ok {
 			counted++
 		}
+		time.Sleep(500 * time.Millisecond)
 	}
 	rec.logf("%d of %d rounds counted", counted, orderRounds)
 	if counted == 0 {
-		return fmt.Errorf("no round kept to the times of the case")
+		return fmt.Errorf("in no round were both writes served")
 	}
 	return nil
 }
 
-// orderRound reports whether the round counts: the hold-up was not longer than the page allows.
-func orderRound(rec *recorder, g *gateway, server *disk, extent uint64, one, two *clientConn) (bool, error) {
-	for _, c := range []*clientConn{one, two} { // both connections are in use
-		if got := c.ask(read(extent, server.cell, 2*time.Second)); got.err != nil {
-			return false, got.err
+// orderRound reports whether the round counts: both writes were taken and served, none was closed unread.
+func orderRound(rec *recorder, g *gateway, server *disk, extent uint64, kept *clientConn) (bool, error) {
+	for range 3 { // the kept connection is in use
+		if got := kept.ask(read(extent, server.cell, 2500*time.Millisecond)); got.err != nil {
+			return false, fmt.Errorf("the kept connection ended: %w", got.err)
 		}
+		time.Sleep(20 * time.Millisecond)
 	}
-	time.Sleep(50 * time.Millisecond)
-	older := write(extent, server.cell, 3*time.Second, []byte("the older content"))
-	newer := write(extent, server.cell, 3*time.Second, []byte("the newer content"))
-	heldAt := rec.now()
 	if trouble {
-		g.signal(syscall.SIGSTOP)
+		crowd, err := silentClients(rec, g.listen, orderCrowd)
+		defer closeAll(crowd)
+		if err != nil {
+			return false, err
+		}
 	}
-	time.Sleep(orderBefore)
-	var wait sync.WaitGroup
-	var gotOlder, gotNewer reply
-	olderAt, err := one.send(older)
+	opened, err := dialClient(rec, g.listen)
 	if err != nil {
-		g.signal(syscall.SIGCONT)
 		return false, err
 	}
-	wait.Go(func() { gotOlder = one.await(older) })
-	time.Sleep(orderGap)
-	newerAt, err := two.send(newer)
+	defer opened.conn.Close()
+	older := write(extent, server.cell, 3*time.Second, []byte("the older content"))
+	newer := write(extent, server.cell, 3*time.Second, []byte("the newer content"))
+	olderAt, err := opened.send(older)
 	if err != nil {
-		g.signal(syscall.SIGCONT)
 		return false, err
 	}
-	wait.Go(func() { gotNewer = two.await(newer) })
-	time.Sleep(orderAfter)
-	if trouble {
-		g.signal(syscall.SIGCONT)
-	}
-	held := rec.now() - heldAt
+	var wait sync.WaitGroup
+	var gotOlder, gotNewer reply
+	wait.Go(func() { gotOlder = opened.await(older) })
+	time.Sleep(orderGap)
+	askedAt := rec.now()
+	wait.Go(func() { gotNewer = kept.ask(newer) })
 	wait.Wait()
-	if held > maxHoldUp {
-		rec.logf("round left out: it was held up for %v", held)
+	order := server.arrivals(older.id, newer.id)
+	rec.logf("extent %s: taken %s then %s, %v apart; begun at the disk server: %v; it keeps %s", older.extent,
+		older.id, newer.id, askedAt-olderAt, order, server.content(older.extent))
+	if gotOlder.status != 200 || gotNewer.status != 200 || len(order) != 2 {
+		rec.logf("round left out: %v, %v", gotOlder, gotNewer)
 		return false, nil
 	}
-	order := server.arrivals(older.id, newer.id)
-	kept := server.content(older.extent)
-	rec.logf("extent %s: taken %s then %s, %v apart; begun at the disk server: %v; it keeps %s",
-		older.extent, older.id, newer.id, newerAt-olderAt, order, kept)
-	if len(order) == 2 && order[0] == newer.id {
+	if order[0] == newer.id && askedAt-olderAt > orderSlack {
 		rec.breakf("order: %s was taken %v before %s of the same key and begun after it; "+
-			"answered %d and %d, the disk server keeps the content of %s",
-			older.id, newerAt-olderAt, newer.id, gotOlder.status, gotNewer.status, kept)
+			"both were answered 200, the disk server keeps the content of %s",
+			older.id, askedAt-olderAt, newer.id, server.content(older.extent))
 	}
 	return true, nil
 }
+
+// silentClients opens connections on which nothing is ever sent.
+func silentClients(rec *recorder, address string, count int) (crowd []net.Conn, err error) {
+	beganAt := rec.now()
+	for range count {
+		conn, err := net.DialTimeout("tcp4", address, 3*time.Second)
+		if err != nil {
+			return crowd, err
+		}
+		crowd = append(crowd, conn)
+	}
+	rec.logf("%d clients connected within %v and say nothing", count, rec.now()-beganAt)
+	return crowd, nil
+}
+
+func closeAll(conns []net.Conn) {
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
--- a/review/standin2/short.go
+++ b/review/standin2/short.go
@@ -21,7 +21,7 @@
 		q.run()
 		return q.answerInPieces(trouble && answers.Add(1)%shortShare == 0)
 	}
-	g, disks, err := startWorld(rec, 4, handler, nil)
+	g, disks, err := startWorld(rec, 4, handler, nil, 0)
 	if err != nil {
 		return err
 	}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -3,9 +3,9 @@
 import "fmt"
 
 // startWorld starts disk servers, one a cell, discovery and a scheduler. address gives the address at which
-// the scheduler reaches a disk server; nil: its own.
+// the scheduler reaches a disk server; nil: its own. sockets is the limit of descriptors; 0: the usual one.
 func startWorld(rec *recorder, cells int, handler func(*diskRequest) bool,
-	address func(*disk) (string, error)) (*gateway, []*disk, error) {
+	address func(*disk) (string, error), sockets int) (*gateway, []*disk, error) {
 	var disks []*disk
 	var entries []listed
 	for cell := range cells {
@@ -30,6 +30,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if sockets > 0 {
+		g.limits["sockets"] = sockets
+	}
 	if err := g.start(); err != nil {
 		g.close()
 		return nil, nil, err
