--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -37,6 +37,7 @@
 type discovery struct {
 	rec     *recorder
 	address string
+	delay   time.Duration // of the answer to each call; set before the first one
 
 	mu         sync.Mutex
 	generation uint64
@@ -61,6 +62,22 @@
 	return d, nil
 }
 
+// set changes or adds an entry of the list.
+func (d *discovery) set(entry listed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.generation++
+	if _, known := d.entries[entry.InstanceID]; !known {
+		d.order = append(d.order, entry.InstanceID)
+	}
+	d.entries[entry.InstanceID] = entry
+	d.changes = append(d.changes, change{d.generation, entry})
+	close(d.updated)
+	d.updated = make(chan struct{})
+	d.rec.logf("list gen=%d %s %s startedAt=%d", d.generation, entry.InstanceID, entry.Lifecycle,
+		entry.StartedAtMS)
+}
+
 func (d *discovery) full() list {
 	whole := list{Generation: d.generation, Reset: true}
 	for _, id := range d.order {
@@ -95,6 +112,13 @@
 		http.NotFound(w, r)
 		return
 	}
+	d.rec.logf("discovery gets a call: %s", r.URL.RawQuery)
+	select {
+	case <-time.After(d.delay):
+	case <-r.Context().Done():
+		d.rec.logf("a call was given up before its answer")
+		return
+	}
 	if r.URL.Query().Get("stream") != "1" {
 		json.NewEncoder(w).Encode(d.whole()) //nolint:errcheck // the caller has gone
 		return
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,6 +21,7 @@
 	"late":   lateCase,
 	"length": lengthCase,
 	"short":  shortCase,
+	"slow":   slowCase,
 	"end":    endCase,
 }
 
