--- a/review/standin2/gateway.go
+++ b/review/standin2/gateway.go
@@ -77,19 +77,27 @@
 		return nil, err
 	}
 	listener.Close()
-	return &gateway{rec: rec, root: root, folder: folder, listen: listener.Addr().String(), discovery: d,
+	g := &gateway{rec: rec, root: root, folder: folder, listen: listener.Addr().String(), discovery: d,
 		settings: fieldStore(shards),
-		limits:   object{"cores": 1.0, "memory_mb": 64, "sockets": 512}}, nil
+		limits:   object{"cores": 1.0, "memory_mb": 64, "sockets": 512}}
+	present.Store(g)
+	return g, nil
 }
 
+// present is the scheduler of the case; nil: there is none yet.
+var present atomic.Pointer[gateway]
+
 // running is the process of the scheduler that runs; 0: none does.
 var running atomic.Int64
 
-// endScheduler kills the scheduler when a case is given up.
-func endScheduler() {
+// giveUp kills the scheduler and removes its folder when a case is given up.
+func giveUp() {
 	if process := int(running.Load()); process > 0 {
 		syscall.Kill(process, syscall.SIGKILL) //nolint:errcheck // it may have ended
 	}
+	if g := present.Load(); g != nil {
+		os.RemoveAll(g.folder)
+	}
 }
 
 func (g *gateway) configPath() string { return filepath.Join(g.folder, "config.json") }
@@ -119,6 +127,7 @@
 	defer log.Close()
 	g.cmd = exec.Command("/bin/sh", "-c", "exec bin/storage-gateway platform")
 	g.cmd.Dir, g.cmd.Stdout, g.cmd.Stderr = g.root, log, log
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
 	g.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+g.configPath(), "BALANCER_NAME=n0",
 		"BALANCER_LISTEN="+g.listen, "BALANCER_DISCOVERY="+g.discovery.address, "TMPDIR="+g.folder)
 	if err := g.cmd.Start(); err != nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -35,14 +36,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	runtime.LockOSThread() // the scheduler ends with the thread that started it: with the main one
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		select {
 		case <-interrupted:
 		case <-time.After(maxTime):
 		}
-		endScheduler()
+		giveUp()
 		os.Exit(2)
 	}()
 	if err := cases[os.Args[1]](rec); err != nil {
