Keep writes of one key in order behind hundreds of silent clients

Cause: the goroutine that accepts waited 1 ms and more for each connection over the limit, as silent connections lingered like answered ones; and a collection of arrivals was given up after 50 ms whatever was still unread. Where batches followed each other none was begun at all.

Change: an evicted connection to which nothing was written is closed at once; waiting for room ends with the next connection that ends. A collection counts the accept queue and lasts as long as it makes progress, 1 s at most; an accept queue not empty for 20 ms calls for one.

Two counters were added to tell waiting for room from collections that are given up. TestArrivals_* use the new bound of 1 s where they used 50 ms and 0.4 s.

--- a/internal/arrival/conn_test.go
+++ b/internal/arrival/conn_test.go
@@ -257,6 +257,7 @@
 	if listener.HasPending() {
 		t.Error("without a client: got pending, want none")
 	}
+	expectBacklog(t, listener, 0)
 	client, err := net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -265,6 +266,18 @@
 	if !listener.HasPending() {
 		t.Error("with a client: got none, want pending")
 	}
+	second, err := net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	expectBacklog(t, listener, 2)
+	if conn, err := listener.Accept(); err != nil {
+		t.Fatal(err)
+	} else {
+		conn.Close()
+	}
+	expectBacklog(t, listener, 1)
 	conn, err := listener.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -282,6 +295,13 @@
 	}
 }
 
+func expectBacklog(t *testing.T, listener *Listener, want int) {
+	t.Helper()
+	if got, isKnown := listener.Backlog(); got != want || !isKnown {
+		t.Errorf("got a backlog of %d connections, known: %v; want %d, known", got, isKnown, want)
+	}
+}
+
 // What times of arrival cost a read: compare BenchmarkConn_Read with BenchmarkTCPConn_Read.
 func BenchmarkConn_Read(b *testing.B) {
 	listener, err := Listen("tcp4", "127.0.0.1:0")
--- a/internal/arrival/listener.go
+++ b/internal/arrival/listener.go
@@ -8,6 +8,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// tcpListenState is the state of a listening socket in the system's TCP information.
+const tcpListenState = 10
+
 // Listener accepts TCP connections on which the kernel records times of arrival.
 type Listener struct {
 	tcp *net.TCPListener
@@ -70,6 +73,22 @@
 // Addr returns the address on which the listener listens.
 func (l *Listener) Addr() net.Addr { return l.tcp.Addr() }
 
+// Backlog returns how many established connections wait to be accepted. If isKnown is false, the system does
+// not tell their number; HasPending reports whether there are any.
+func (l *Listener) Backlog() (count int, isKnown bool) {
+	err := l.raw.Control(func(descriptor uintptr) {
+		// Of a listening socket, this field holds the number of connections in its queue.
+		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && info.State == tcpListenState {
+			count, isKnown = int(info.Unacked), true
+		}
+	})
+	if err != nil || count == 0 && l.HasPending() {
+		return 0, false
+	}
+	return count, isKnown
+}
+
 // HasPending reports whether established connections wait to be accepted.
 func (l *Listener) HasPending() bool {
 	descriptors := []unix.PollFd{{Events: unix.POLLIN}}
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -33,7 +33,7 @@
 	case scheduler.FetchEndpoints:
 		l.drivers.Endpoints.Fetch()
 	case scheduler.CollectArrivals:
-		if l.drivers.Arrivals.Collect(action.Before, action.Timeout) {
+		if l.drivers.Arrivals.Collect(action) {
 			l.collected = append(l.collected, scheduler.ArrivalsCollected{Before: action.Before})
 		}
 	}
--- a/internal/daemon/arrival_collector.go
+++ b/internal/daemon/arrival_collector.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"landingpaddle/scheduler"
 )
 
 // collectInterval is the interval between checks of a collection that is not complete.
@@ -10,8 +12,9 @@
 
 // Clients are the connections of a frontend's clients. Its methods may be called from any goroutine.
 type Clients interface {
-	// HasPending reports whether established connections wait to be accepted.
-	HasPending() bool
+	// Unaccepted returns nil if every established connection is accepted and known to Unsubmitted. Otherwise
+	// it returns a function that tells how many of those that are established now remain.
+	Unaccepted() (remaining func() int)
 	// Unsubmitted returns the connections on which a request may have arrived before a time that was not
 	// passed to Submit or rejected yet, and does not wait for the answer to an earlier one. Each is returned
 	// as a function that checks it again.
@@ -30,32 +33,62 @@
 }
 
 // Collect implements ArrivalCollector.
-func (c *clientCollector) Collect(before, timeout time.Duration) (isComplete bool) {
-	limit := c.loop.AtTime(before)
+func (c *clientCollector) Collect(action scheduler.CollectArrivals) (isComplete bool) {
+	limit := c.loop.AtTime(action.Before)
 	// Connections that are accepted between the two checks are found by the second.
-	if !c.clients.HasPending() && len(c.clients.Unsubmitted(limit)) == 0 {
+	if c.clients.Unaccepted() == nil && len(c.clients.Unsubmitted(limit)) == 0 {
 		return true
 	}
 	c.loop.Stats.Collections.Add(1)
 	go func() {
-		c.await(limit, int(timeout/collectInterval))
-		c.loop.ReportArrivalsCollected(before)
+		if !c.await(limit, newCheckBudget(action)) {
+			c.loop.Stats.CollectionsGivenUp.Add(1)
+		}
+		c.loop.ReportArrivalsCollected(action.Before)
 	}()
 	return false
 }
 
-// await waits until all requests that arrived before a time are submitted, or until it has checked that
-// often. A count of checks does not include the time of another hold-up of the process.
-func (c *clientCollector) await(limit time.Time, checks int) {
-	for ; checks > 0 && c.clients.HasPending(); checks-- {
-		time.Sleep(collectInterval)
+// await waits until all requests that arrived before a time are submitted. It reports false if the budget is
+// exhausted before.
+func (c *clientCollector) await(limit time.Time, budget *checkBudget) bool {
+	if remaining := c.clients.Unaccepted(); remaining != nil && !budget.awaitNone(remaining) {
+		return false
 	}
-	time.Sleep(collectInterval) // meanwhile the connection accepted last is registered
 	// A client counts until it is seen once without such a request: what it sends later does not matter.
-	for unsubmitted := c.clients.Unsubmitted(limit); checks > 0 && len(unsubmitted) > 0; checks-- {
-		time.Sleep(collectInterval)
+	unsubmitted := c.clients.Unsubmitted(limit)
+	return budget.awaitNone(func() int {
 		unsubmitted = slices.DeleteFunc(unsubmitted, func(isUnsubmitted func() bool) bool {
 			return !isUnsubmitted()
 		})
+		return len(unsubmitted)
+	})
+}
+
+// checkBudget bounds the checks of a collection. It counts checks instead of time, so that another hold-up of
+// the process does not end the collection.
+type checkBudget struct {
+	total int // checks that remain
+	stall int // successive checks without progress after which the collection is given up
+}
+
+func newCheckBudget(action scheduler.CollectArrivals) *checkBudget {
+	return &checkBudget{
+		total: int(action.Timeout / collectInterval),
+		stall: int(action.StallTimeout / collectInterval),
+	}
+}
+
+// awaitNone checks a count in intervals until it is 0, and reports false if the budget is exhausted before.
+func (b *checkBudget) awaitNone(count func() int) bool {
+	least, stalled := count(), 0
+	for least > 0 && stalled < b.stall && b.total > 0 {
+		time.Sleep(collectInterval)
+		b.total--
+		stalled++
+		if now := count(); now < least {
+			least, stalled = now, 0
+		}
 	}
+	return least == 0
 }
--- a/internal/daemon/arrival_collector_test.go
+++ b/internal/daemon/arrival_collector_test.go
@@ -13,7 +13,17 @@
 	pending, unsubmitted atomic.Bool
 }
 
-func (c *scriptedClients) HasPending() bool { return c.pending.Load() }
+func (c *scriptedClients) Unaccepted() func() int {
+	if !c.pending.Load() {
+		return nil
+	}
+	return func() int {
+		if c.pending.Load() {
+			return 1
+		}
+		return 0
+	}
+}
 
 func (c *scriptedClients) Unsubmitted(time.Time) []func() bool {
 	if !c.unsubmitted.Load() {
@@ -34,7 +44,7 @@
 }
 
 // A collection is complete at once if nothing is unsubmitted. Otherwise it ends once the clients that were
-// pending are accepted and all requests are submitted, or after the time-out.
+// pending are accepted and all requests are submitted, or after the time-out of a collection that stalls.
 func TestArrivalCollector_WaitsForUnsubmittedRequests(t *testing.T) {
 	const before, long, short = 3 * time.Second, 10 * time.Second, 20 * time.Millisecond
 	for name, test := range map[string]struct {
@@ -51,12 +61,13 @@
 		t.Run(name, func(t *testing.T) {
 			loop, clients := NewEventLoop(EventLoopConfig{}), &scriptedClients{}
 			collector := NewArrivalCollector(loop, clients)
-			if !collector.Collect(before, test.timeout) || loop.Stats.Collections.Load() != 0 {
+			action := scheduler.CollectArrivals{Before: before, StallTimeout: test.timeout, Timeout: long}
+			if !collector.Collect(action) || loop.Stats.Collections.Load() != 0 {
 				t.Fatal("with nothing unsubmitted: got a collection that waits, want it complete")
 			}
 			clients.pending.Store(test.pending)
 			clients.unsubmitted.Store(test.unsubmitted)
-			if collector.Collect(before, test.timeout) || loop.Stats.Collections.Load() != 1 {
+			if collector.Collect(action) || loop.Stats.Collections.Load() != 1 {
 				t.Fatal("got the collection complete, want it to wait, counted once")
 			}
 			if test.isOver {
@@ -71,10 +82,62 @@
 			if got := awaitReport(t, loop); got.Before != before {
 				t.Errorf("got a report of the collection before %v, want %v", got.Before, before)
 			}
+			if isGivenUp := loop.Stats.CollectionsGivenUp.Load() == 1; isGivenUp == test.isOver {
+				t.Errorf("got given up %v, want %v", isGivenUp, !test.isOver)
+			}
 		})
 	}
 }
 
+// Guards against ordered requests that were sent 50 ms after a collection began while others still waited to
+// be accepted, behind hundreds of silent clients: a collection lasts as long as it makes progress.
+func TestArrivalCollector_WaitsWhileProgressIsMade(t *testing.T) {
+	const stallTimeout, connections = 20 * time.Millisecond, 40
+	for name, test := range map[string]struct {
+		timeout   time.Duration
+		isGivenUp bool
+	}{
+		"long enough": {10 * time.Second, false},
+		"too short":   {2 * stallTimeout, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			loop, clients := NewEventLoop(EventLoopConfig{}), &slowlyAccepted{interval: stallTimeout / 5}
+			clients.remaining.Store(connections)
+			accepted := make(chan struct{})
+			go func() {
+				defer close(accepted)
+				clients.accept()
+			}()
+			NewArrivalCollector(loop, clients).Collect(scheduler.CollectArrivals{
+				Before: time.Second, StallTimeout: stallTimeout, Timeout: test.timeout})
+			awaitReport(t, loop)
+			if isGivenUp := clients.remaining.Load() > 0; isGivenUp != test.isGivenUp {
+				t.Errorf("got a report with %d connections left, want given up %v",
+					clients.remaining.Load(), test.isGivenUp)
+			}
+			<-accepted
+		})
+	}
+}
+
+// slowlyAccepted are clients whose connections are accepted one after another.
+type slowlyAccepted struct {
+	scriptedClients
+	interval  time.Duration
+	remaining atomic.Int64
+}
+
+func (c *slowlyAccepted) accept() {
+	for c.remaining.Load() > 0 {
+		time.Sleep(c.interval)
+		c.remaining.Add(-1)
+	}
+}
+
+func (c *slowlyAccepted) Unaccepted() func() int {
+	return func() int { return int(c.remaining.Load()) }
+}
+
 // heldDecider emits one collection and records the events that the scheduler receives after it.
 type heldDecider struct {
 	requested bool
@@ -99,7 +162,7 @@
 	call *Call
 }
 
-func (c *submittingCollector) Collect(_, _ time.Duration) bool {
+func (c *submittingCollector) Collect(scheduler.CollectArrivals) bool {
 	c.loop.Submit(c.call)
 	return true
 }
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -12,13 +12,14 @@
 // Call is one client's request while the daemon processes it. The frontend sets the exported fields and
 // submits the call; from then on the loop owns it.
 type Call struct {
-	Responder  Responder
-	Request    scheduler.Request // the loop sets ID, ArrivedAt and ExpiresAt
-	ReceivedAt time.Duration     // when its last byte arrived, by the scheduler's clock
-	Timeout    time.Duration     // how long the client waits, counted from ReceivedAt
-	Token      uint64            // identifies the call in logs
-	Range      *extent.Range     // bytes of a ranged request; nil: not ranged
-	DataVolume uint64            // the volume that a ranged request reads or writes
+	Responder    Responder
+	Request      scheduler.Request // the loop sets ID and the times
+	ReceivedAt   time.Duration     // when its last byte arrived, by the scheduler's clock
+	BacklogSince time.Duration     // clock value since which connections wait to be accepted; 0: none does
+	Timeout      time.Duration     // how long the client waits, counted from ReceivedAt
+	Token        uint64            // identifies the call in logs
+	Range        *extent.Range     // bytes of a ranged request; nil: not ranged
+	DataVolume   uint64            // the volume that a ranged request reads or writes
 
 	rangedID     uint64     // the planner's ID of a ranged call; 0: not ranged
 	requests     []*request // one, or one for each piece of a ranged call
@@ -37,7 +38,7 @@
 	expiresAt := call.ReceivedAt + call.Timeout - l.shared.cfg.ResponseMargin
 	call.overdueTimer = l.timers.set(expiresAt+l.shared.cfg.AnswerSlack, func() { l.failOverdue(call) })
 	event := call.Request
-	event.ArrivedAt, event.ExpiresAt = call.ReceivedAt, expiresAt
+	event.ArrivedAt, event.ExpiresAt, event.BacklogSince = call.ReceivedAt, expiresAt, call.BacklogSince
 	if call.Range != nil {
 		l.startRangedCall(call, event)
 		return
--- a/internal/daemon/client_listener.go
+++ b/internal/daemon/client_listener.go
@@ -157,9 +157,9 @@
 	return nil
 }
 
-// HasPending reports false: a client sends its first request only once its connection is accepted and its
+// Unaccepted returns nil: a client sends its first request only once its connection is accepted and its
 // handshake answered.
-func (l *clientListener) HasPending() bool { return false }
+func (l *clientListener) Unaccepted() (remaining func() int) { return nil }
 
 // Unsubmitted implements Clients. It returns all connections with a request that is not submitted, whenever
 // it arrived.
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -18,7 +18,7 @@
 	// Attempts dispatched; results that arrived after their attempt had ended, which are ignored; attempts
 	// not sent because their request had ended or their time was up; batches; collections of arrivals that
 	// had to wait for unread requests; endpoint snapshots that could not be saved.
-	Attempts, LateResults, Withheld, Batches, Collections, SnapshotFailures atomic.Uint64
+	Attempts, LateResults, Withheld, Batches, Collections, CollectionsGivenUp, SnapshotFailures atomic.Uint64
 
 	// Attempts that ended, by result code.
 	OK, Error, Overloaded, TimedOut, ConnectFailed, Reset, Cancelled, NotApplicable atomic.Uint64
@@ -98,6 +98,7 @@
 		{"late", &s.LateResults},
 		{"overdue", &s.Overdue},
 		{"arrival_collections", &s.Collections},
+		{"arrival_collections_given_up", &s.CollectionsGivenUp},
 		{"ok", &s.OK},
 		{"error", &s.Error},
 		{"overloaded", &s.Overloaded},
--- a/internal/daemon/drivers.go
+++ b/internal/daemon/drivers.go
@@ -60,11 +60,11 @@
 
 // ArrivalCollector makes sure that requests that have arrived are submitted, whichever goroutine reads them.
 type ArrivalCollector interface {
-	// Collect reports whether every request that arrived before the given time, by the scheduler's clock, has
-	// been submitted or rejected. If not, it calls EventLoop.ReportArrivalsCollected once that is so, or
-	// after the timeout. A request behind another one of the same connection that is not answered yet does
-	// not count.
-	Collect(before, timeout time.Duration) (isComplete bool)
+	// Collect reports whether every request that arrived before the time that the action states has been
+	// submitted or rejected. If not, it calls EventLoop.ReportArrivalsCollected once that is so, or after one
+	// of the action's timeouts. A request behind another one of the same connection that is not answered yet
+	// does not count.
+	Collect(action scheduler.CollectArrivals) (isComplete bool)
 }
 
 // PeerSender sends messages to other instances. Messages may be lost.
--- a/internal/platform/arrivals.go
+++ b/internal/platform/arrivals.go
@@ -8,8 +8,8 @@
 
 var _ daemon.Clients = (*frontend)(nil)
 
-// HasPending reports whether established connections wait to be accepted.
-func (f *frontend) HasPending() bool { return f.listener.HasPending() }
+// Unaccepted implements daemon.Clients.
+func (f *frontend) Unaccepted() (remaining func() int) { return f.accepting.remaining() }
 
 // Unsubmitted implements daemon.Clients.
 func (f *frontend) Unsubmitted(before time.Time) (unsubmitted []func() bool) {
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -36,11 +36,13 @@
 	// Guarded by frontend.mu.
 	state          connState
 	stateSince     time.Time
-	requests       int  // received completely
-	closeRequested bool // the session ends once no request is in flight on the connection
-	isLingering    bool // counted as lingering, not among the open connections
-	hasPipelined   bool // a part of the next request arrived while one is in flight
+	requests       int       // received completely
+	closeRequested bool      // the session ends once no request is in flight on the connection
+	isLingering    bool      // counted as lingering, not among the open connections
+	hasPipelined   bool      // a part of the next request arrived while one is in flight
+	drainingSince  time.Time // when the connection's last data began to be drained; zero: it did not
 
+	hasWritten  bool  // something was written to the connection, or was tried to; used with a request only
 	bufferBytes int64 // part of the read buffer that counts in frontend.bodyBytes; used by the session only
 }
 
@@ -70,6 +72,7 @@
 
 // writeResponse writes one response within writeTimeout.
 func (c *clientConn) writeResponse(status int, header http1.Header, body []byte) error {
+	c.hasWritten = true
 	c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := c.conn.Write(http1.AppendResponse(nil, status, http.StatusText(status), header, body))
 	return err
--- a/internal/platform/eviction.go
+++ b/internal/platform/eviction.go
@@ -26,7 +26,8 @@
 
 // Eviction ranks; connections of a lower rank are closed first.
 const (
-	rankSilent = iota
+	rankNone = iota
+	rankSilent
 	rankReading
 	rankIdle
 )
@@ -74,17 +75,26 @@
 	return candidates
 }
 
+// evictionScope states which connections may be evicted: those up to one rank after the time of their rank,
+// and those up to another rank also before. rankNone stands for no connection.
+type evictionScope struct{ upTo, early int }
+
+// anyConnection is the scope when the process is out of descriptors.
+var anyConnection = evictionScope{upTo: rankIdle, early: rankIdle}
+
 // makeRoom evicts the connection of the lowest rank: one that has sent nothing since it was accepted, else
 // one that is slow to send its request, else the one that has idled for the longest. It reports whether it
-// evicted one. A connection with unread data stays open. Without force, it evicts none while the limit of
-// lingering connections is reached, and none before it has been in its state for the time of its rank.
-func (f *frontend) makeRoom(force bool) bool {
-	if f.isLingerLimitReached() && !force {
-		return false // lingering connections end shortly
+// evicted one. A connection with unread data stays open. While the limit of lingering connections is reached,
+// it evicts none, unless any connection may be evicted, and ends the oldest lingering one instead.
+func (f *frontend) makeRoom(scope evictionScope) bool {
+	if f.isLingerLimitReached() && scope != anyConnection {
+		f.endOldestLinger()
+		return false
 	}
 	candidates := f.rankForEviction(func(client *clientConn) (int, bool) {
 		rank, after := client.evictionRank()
-		return rank, client.state != stateWorking && (force || time.Since(client.stateSince) >= after)
+		isInScope := rank <= scope.early || rank <= scope.upTo && time.Since(client.stateSince) >= after
+		return rank, client.state != stateWorking && isInScope
 	})
 	for _, candidate := range candidates {
 		if f.evict(candidate.client, true) {
@@ -95,6 +105,18 @@
 	return false
 }
 
+// hasSilent reports whether a connection is open that has sent nothing since it was accepted.
+func (f *frontend) hasSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for client := range f.connections {
+		if client.state == stateIdle && client.requests == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // evict requests that a connection's session end it, and reports whether it did. It does nothing to a
 // connection with a request in flight or with unread data, nor to one whose close is already requested. With
 // countAsLingering the connection counts as lingering from now on, so that a new one can be accepted at
--- a/internal/platform/eviction_test.go
+++ b/internal/platform/eviction_test.go
@@ -57,7 +57,7 @@
 	eventually(t, "the session has ended", func() bool {
 		fixture.gateway.frontend.mu.Lock()
 		defer fixture.gateway.frontend.mu.Unlock()
-		return len(fixture.gateway.frontend.connections)+fixture.gateway.frontend.lingering == 0
+		return len(fixture.gateway.frontend.connections)+len(fixture.gateway.frontend.lingering) == 0
 	})
 	if n := len(diskServer.received()); n != 1 || fixture.gateway.loop.Stats.Admitted.Load() != 1 {
 		t.Errorf("got %d sends, %d admitted; want 1 of each", n, fixture.gateway.loop.Stats.Admitted.Load())
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -1,27 +1,18 @@
 package platform
 
 import (
-	"errors"
 	"log/slog"
-	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/daemon"
 	"landingpaddle/internal/wire"
 )
 
-const (
-	// acceptRetryDelay is the delay after a failed accept.
-	acceptRetryDelay = 5 * time.Millisecond
-	// A new connection over the limit waits for lingering ones to end, up to maxLingerWaits times lingerWait.
-	maxLingerWaits = 20
-	lingerWait     = time.Millisecond
-	// drainPollInterval is how often a shutdown checks whether all connections have ended.
-	drainPollInterval = time.Millisecond
-)
+// drainPollInterval is how often a shutdown checks whether all connections have ended.
+const drainPollInterval = time.Millisecond
 
 // frontend accepts clients, reads their requests and submits them to the event loop.
 type frontend struct {
@@ -30,7 +21,8 @@
 	log    *slog.Logger
 	limits resourceLimits
 
-	listener *arrival.Listener // whose clients are served; set before the loop runs
+	accepting acceptQueue
+	freed     chan struct{} // holds a value once a connection has ended since the last receive
 
 	keepIdle  atomic.Bool  // set by a shutdown: idle connections stay open, as no new ones are expected
 	bodyBytes atomic.Int64 // of request bodies in flight, and of read buffers beyond maxClientHead
@@ -38,7 +30,7 @@
 	mu          sync.Mutex
 	closing     bool // connections end as soon as no request is in flight on them
 	connections map[*clientConn]struct{}
-	lingering   int                 // closing connections, removed from connections
+	lingering   []*clientConn       // closing connections, removed from connections; oldest first
 	openIDs     map[string]struct{} // ids of requests in flight
 
 	counters frontendCounters
@@ -46,73 +38,33 @@
 
 // frontendCounters count events since the start.
 type frontendCounters struct {
-	accepted     atomic.Uint64 // connections
 	refused      atomic.Uint64 // connections that could not be accepted, or were closed at once
+	roomWait     atomic.Uint64 // microseconds in which new connections waited for others to end
 	evicted      atomic.Uint64 // connections closed by makeRoom so that another can be accepted
 	silent       atomic.Uint64 // connections that ended before a byte of a request arrived
-	invalid      atomic.Uint64 // invalid, late or duplicate requests, and those over the limit of body bytes
+	invalid      atomic.Uint64 // invalid, late or duplicate requests, and those over bodyBytes
 	duplicateIDs atomic.Uint64 // requests with the id of one in flight
 	overLimit    atomic.Uint64 // requests rejected because a limit was reached, or during a shutdown
 }
 
 func newFrontend(loop *daemon.EventLoop, site *wire.Site, log *slog.Logger, limits resourceLimits) *frontend {
 	return &frontend{loop: loop, site: site, log: log, limits: limits,
+		freed:       make(chan struct{}, 1),
 		connections: map[*clientConn]struct{}{}, openIDs: map[string]struct{}{}}
 }
 
-// serve accepts clients until the listener is closed, and starts a session for each.
-func (f *frontend) serve(listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil: // out of descriptors, or the client has disconnected already
-			f.counters.refused.Add(1)
-			f.makeRoom(true)
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
-		f.counters.accepted.Add(1)
-		client := newClientConn(conn)
-		if !f.register(client) {
-			f.counters.refused.Add(1)
-			conn.Close()
-			continue
-		}
-		go f.runSession(client)
-	}
-}
-
-// register adds a connection to the open ones. If the limit is reached, it closes another one first, and
-// reports false if it cannot.
-func (f *frontend) register(client *clientConn) bool {
-	f.mu.Lock()
-	hasRoom := len(f.connections) < f.limits.clients
-	f.mu.Unlock()
-	if !hasRoom {
-		// Lingering connections end shortly; until then new ones wait in the listener's queue.
-		for wait := 0; wait < maxLingerWaits && f.isLingerLimitReached(); wait++ {
-			time.Sleep(lingerWait)
-		}
-		if !f.makeRoom(false) {
-			return false
-		}
-	}
-	f.mu.Lock()
-	f.connections[client] = struct{}{}
-	f.mu.Unlock()
-	return true
-}
-
 // unregister removes a connection whose session ends.
 func (f *frontend) unregister(client *clientConn) {
 	f.bodyBytes.Add(-client.bufferBytes)
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	delete(f.connections, client)
 	if client.isLingering {
-		f.lingering--
+		f.lingering = slices.DeleteFunc(f.lingering, func(other *clientConn) bool { return other == client })
+	}
+	f.mu.Unlock()
+	select {
+	case f.freed <- struct{}{}:
+	default:
 	}
 }
 
@@ -154,7 +106,7 @@
 func (f *frontend) waitUntilClosed(deadline time.Time) {
 	for ; time.Now().Before(deadline); time.Sleep(drainPollInterval) {
 		f.mu.Lock()
-		remaining := len(f.connections) + f.lingering
+		remaining := len(f.connections) + len(f.lingering)
 		f.mu.Unlock()
 		if remaining == 0 {
 			return
--- a/internal/platform/gateway.go
+++ b/internal/platform/gateway.go
@@ -99,7 +99,7 @@
 		return keyError(configKeyListen, err)
 	}
 	defer listener.Close()
-	g.frontend.listener = listener
+	g.frontend.accepting.listener = listener
 	g.started <- listener.Addr()
 	var workers sync.WaitGroup
 	drivers, err := g.startDrivers(ctx, &workers)
--- a/internal/platform/gateway_fixture_test.go
+++ b/internal/platform/gateway_fixture_test.go
@@ -104,13 +104,25 @@
 // startGateway starts a scheduler with one disk server for each shard, named s-0, s-1 and so on, and waits
 // until it is ready. The endpoint list has version 7.
 func startGateway(t *testing.T, sockets int, diskServers ...*fakeDiskServer) *gatewayFixture {
+	t.Helper()
+	return startGatewayWith(t, sockets, nil, diskServers...)
+}
+
+// startGatewayWith is startGateway with a configuration file that is passed through change, unless that is
+// nil.
+func startGatewayWith(t *testing.T, sockets int, change func(string) string,
+	diskServers ...*fakeDiskServer) *gatewayFixture {
 	t.Helper()
 	list := List{Generation: 7, Reset: true}
 	for i, diskServer := range diskServers {
 		list.Instances = append(list.Instances, listedServer(fmt.Sprintf("s-%d", i), diskServer, i))
 	}
 	discovery := newFakeDiscovery(t, list)
-	fixture := runGateway(t, configDocument(discovery.address(), &list, sockets))
+	text := string(configDocument(discovery.address(), &list, sockets))
+	if change != nil {
+		text = change(text)
+	}
+	fixture := runGateway(t, []byte(text))
 	fixture.discovery = discovery
 	<-fixture.gateway.loop.Ready()
 	return fixture
--- a/internal/platform/pushed_list_test.go
+++ b/internal/platform/pushed_list_test.go
@@ -43,7 +43,7 @@
 			client := fixture.dial()
 			client.send(healthRequest + payText("a1", ""))
 			eventually(t, "the agent is called", func() bool { return discovery.calls() > 0 })
-			if sent == list && fixture.gateway.frontend.counters.accepted.Load() > 0 {
+			if sent == list && fixture.gateway.frontend.accepting.accepted.Load() > 0 {
 				t.Error("got a client accepted before the list, want none")
 			}
 			close(release)
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"landingpaddle/internal/daemon"
 	"landingpaddle/internal/http1"
@@ -47,6 +48,7 @@
 	}
 	request.call.Responder = request
 	request.call.ReceivedAt = f.loop.ArrivalTime(client.reader.ConsumedAt())
+	request.call.BacklogSince = time.Duration(f.accepting.backlogSince.Load())
 	return request, nil
 }
 
@@ -58,6 +60,7 @@
 		return nil, &http1.Error{Status: http.StatusServiceUnavailable, Reason: daemon.ReasonOverload}
 	}
 	if expected, _ := head.Header.Get(fieldExpect); strings.EqualFold(expected, "100-continue") {
+		client.hasWritten = true
 		_, _ = client.conn.Write([]byte(continueResponse)) // if this fails, reading the body does too
 	}
 	body, err := client.reader.ReadBody(head.Length)
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -65,11 +65,12 @@
 type FetchEndpoints struct{}
 
 // CollectArrivals requests that all requests that arrived before a clock value be read and passed to the
-// scheduler. ArrivalsCollected must follow once that is done, or after the timeout; time in which the process
+// scheduler. ArrivalsCollected must follow once that is done, or after a timeout; time in which the process
 // did not run does not count.
 type CollectArrivals struct {
-	Before  time.Duration
-	Timeout time.Duration
+	Before       time.Duration
+	StallTimeout time.Duration // after which the collection is given up if none of the requests was read
+	Timeout      time.Duration // after which it is given up in any case
 }
 
 func (Send) isAction()            {}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -58,10 +58,10 @@
 	if incoming.ArrivedAt == 0 {
 		incoming.ArrivedAt = s.now
 	}
-	s.arrivals.observeRequest(incoming.ArrivedAt, s.now)
 	c := s.classes[incoming.Class]
 	c.longestWait = max(c.longestWait, incoming.ExpiresAt-s.now)
 	r := &request{Request: incoming, class: c, volume: s.volumeFor(incoming)}
+	s.arrivals.observeRequest(r, s.now)
 	r.objectiveAt = s.objectiveTime(r)
 	r.Units = max(incoming.Units, 1)
 	r.slotCost = c.slotCost(r.Units)
--- a/scheduler/arrival.go
+++ b/scheduler/arrival.go
@@ -7,10 +7,10 @@
 	// requests that arrived meanwhile may still be unread: this process may not have run. Requests that
 	// arrived within that time of each other may be sent in either order.
 	unreadThreshold = 20 * time.Millisecond
-	// collectTimeout bounds how long ordered requests wait for unread ones while this process runs, and
-	// maxCollectTime how long they wait in all.
-	collectTimeout = 50 * time.Millisecond
-	maxCollectTime = 400 * time.Millisecond
+	// collectStallTimeout is the time after which a collection is given up if nothing was read in it that it
+	// waits for, and maxCollectTime bounds how long ordered requests wait for unread ones in all.
+	collectStallTimeout = 50 * time.Millisecond
+	maxCollectTime      = time.Second
 )
 
 // arrivals decides when requests that arrived earlier than those known may still be unread. Then the driver
@@ -20,7 +20,6 @@
 	lateSince   time.Duration // clock value of the last sign that requests may be unread
 	collectedAt time.Duration // clock value at which the last collection that is over began
 	startedAt   time.Duration // clock value at which the present collection began
-	until       time.Duration // clock value at which the present collection is given up
 	collecting  bool
 	again       bool // another collection must follow the present one
 }
@@ -35,14 +34,13 @@
 		return
 	}
 	a.lateSince = to
-	if a.isCollecting(from) {
-		a.until = min(to+collectTimeout, a.startedAt+maxCollectTime)
-	}
 }
 
-// observeRequest records when a request arrived that is processed now.
-func (a *arrivals) observeRequest(arrivedAt, now time.Duration) {
-	if now-arrivedAt > unreadThreshold {
+// observeRequest records when a request arrived that is processed now, and since when others may wait on
+// connections that are not accepted yet.
+func (a *arrivals) observeRequest(r *request, now time.Duration) {
+	isBacklogOld := r.BacklogSince > 0 && now-r.BacklogSince > unreadThreshold
+	if isBacklogOld || now-r.ArrivedAt > unreadThreshold {
 		a.lateSince = now
 	}
 }
@@ -55,7 +53,7 @@
 
 // isCollecting reports whether a collection is in progress.
 func (a *arrivals) isCollecting(now time.Duration) bool {
-	return a.collecting && now < a.until
+	return a.collecting && now < a.startedAt+maxCollectTime
 }
 
 // collectBefore starts a collection, or lets one follow that in progress, if an ordered request may follow
@@ -73,12 +71,16 @@
 
 func (s *Scheduler) startCollection() {
 	a := &s.arrivals
-	a.collecting, a.startedAt, a.until, a.again = true, s.now, s.now+collectTimeout, false
-	s.emit(CollectArrivals{Before: s.now - unreadThreshold, Timeout: collectTimeout})
+	a.collecting, a.startedAt, a.again = true, s.now, false
+	s.emit(CollectArrivals{
+		Before:       s.now - unreadThreshold,
+		StallTimeout: collectStallTimeout,
+		Timeout:      maxCollectTime,
+	})
 }
 
 // finishCollection records that the present collection is over. The report of an earlier one, which did not
-// come before the time-out, is ignored.
+// come within maxCollectTime, is ignored.
 func (s *Scheduler) finishCollection(collected ArrivalsCollected) {
 	a := &s.arrivals
 	if !a.collecting || collected.Before != a.startedAt-unreadThreshold {
--- a/scheduler/arrival_test.go
+++ b/scheduler/arrival_test.go
@@ -18,6 +18,7 @@
 	settings := smallSiteSettings()
 	unordered := settings.Classes[0]
 	settings.Classes[0].OrderedByKey = true
+	settings.Classes[0].LatencyObjective = 2 * maxCollectTime
 	settings.Classes = append(settings.Classes, unordered)
 	driver := startDriver(t, settings, 1)
 	driver.scheduler.EnableArrivalCollection()
@@ -79,7 +80,8 @@
 			driver.now += 140 * ms
 			actions := driver.handle(driver.newRequest(withKey(7, 0)))
 			wantEqual(t, "collections", collections(actions),
-				CollectArrivals{Before: driver.now - unreadThreshold, Timeout: collectTimeout})
+				CollectArrivals{Before: driver.now - unreadThreshold, StallTimeout: collectStallTimeout,
+					Timeout: maxCollectTime})
 			wantEqual(t, "sent before", sentIDs(actions))
 			driver.now += 2 * ms
 			wantEqual(t, "sent meanwhile", sentIDs(driver.handle(driver.newRequest(withKey(7, 130*ms)))))
@@ -87,7 +89,7 @@
 				wantEqual(t, "sent after", sentIDs(driver.finishCollection()), 3)
 				return
 			}
-			for range collectTimeout/(5*ms) - 1 {
+			for range maxCollectTime/(5*ms) - 1 {
 				wantEqual(t, "sent before the time-out", sentIDs(driver.advance(5*ms)))
 			}
 			wantEqual(t, "sent at the end of the time-out", sentIDs(driver.advance(3*ms)), 3)
@@ -120,6 +122,34 @@
 	}
 }
 
+// Guards against a request that is sent while an earlier one of its key lies in a connection that is not
+// accepted yet, though batches follow each other: behind hundreds of silent clients it was overtaken.
+func TestArrivals_CollectBehindOldBacklog(t *testing.T) {
+	for name, test := range map[string]struct {
+		age  time.Duration // of the backlog
+		want int           // collections
+	}{
+		"old":    {unreadThreshold + ms, 1},
+		"recent": {unreadThreshold, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			driver := startOrderedDriver(t)
+			for range 10 { // no pause, but time passes since the last collection
+				driver.advance(5 * ms)
+			}
+			request := driver.newRequest(withKey(7, 0))
+			request.BacklogSince = driver.now - test.age
+			actions := driver.handle(request)
+			if count := len(collections(actions)); count != test.want {
+				t.Errorf("got %d collections, want %d", count, test.want)
+			}
+			if isSent := slices.Contains(sentIDs(actions), request.ID); isSent != (test.want == 0) {
+				t.Errorf("got the request sent at once: %v, want %v", isSent, test.want == 0)
+			}
+		})
+	}
+}
+
 // Nothing waits where nothing was held up, and nothing but ordered requests waits ever.
 func TestArrivals_NothingElseWaits(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -178,7 +208,7 @@
 	driver.now += 140 * ms
 	driver.handle(driver.newRequest(withKey(7, 0)))
 	late := ArrivalsCollected{Before: collections(driver.actions)[1].Before}
-	for range 2 * collectTimeout / (5 * ms) {
+	for range 2 * maxCollectTime / (5 * ms) {
 		driver.advance(5 * ms)
 	}
 	driver.now += 140 * ms
@@ -192,7 +222,7 @@
 	driver := startOrderedDriver(t)
 	driver.now += 140 * ms
 	driver.handle(driver.newRequest(withKey(7, 0)))
-	driver.now += 40 * ms // less than collectTimeout
+	driver.now += 40 * ms // less than maxCollectTime
 	wantEqual(t, "during the first", sentIDs(driver.handle(driver.newRequest(withKey(8, 0)))))
 	actions := driver.finishCollection()
 	if count := len(collections(actions)); count != 1 {
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -26,6 +26,7 @@
 	Plan            int           // index in Settings.Plans
 	Key             uint64        // ordering key, for classes that are ordered by key; 0: none
 	ArrivedAt       time.Duration // clock value at which its last byte arrived; 0: now
+	BacklogSince    time.Duration // clock value since which connections wait to be accepted; 0: none does
 	ExpiresAt       time.Duration // clock value at which the client stops waiting
 	Volume          uint64
 	Units           float64
