Answer 400 to a request of stated length 0 that is followed by its body

Cause: whether the bytes behind a request can begin another one was checked where a body is read, so only for a stated length over 0, and once, right after the last stated byte.

Change: each request is checked, whatever length it states, and what is read ahead while it is in flight is checked too; it then fails as bad-request, as its connection's last answer.

--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -99,14 +99,15 @@
 	l.failCall(call, ReasonOverdue)
 }
 
-// cancelCall ends a call whose client has disconnected or cancelled it. It does nothing if the call
-// is answered or not started.
-func (l *loop) cancelCall(call *Call) {
+// endCall ends a call for a reason of its frontend. It does nothing if the call is answered or not started.
+func (l *loop) endCall(call *Call, reason string) {
 	if call.answered || call.requests == nil {
 		return
 	}
-	l.shared.Stats.ClientGone.Add(1)
-	l.failCall(call, ReasonClientGone)
+	if reason == ReasonClientGone {
+		l.shared.Stats.ClientGone.Add(1)
+	}
+	l.failCall(call, reason)
 }
 
 // failCall answers a call as failed and withdraws its requests from the scheduler.
--- a/internal/daemon/event_loop_input.go
+++ b/internal/daemon/event_loop_input.go
@@ -31,8 +31,13 @@
 
 // CancelCall ends a call whose client has disconnected or has cancelled it.
 func (e *EventLoop) CancelCall(call *Call) {
+	e.FailCall(call, ReasonClientGone)
+}
+
+// FailCall ends a call as failed, with a reason of its frontend.
+func (e *EventLoop) FailCall(call *Call, reason string) {
 	call.closed.Store(true) // at once: an attempt might start before the loop's next batch
-	e.inbox.put(callCancelled{call})
+	e.inbox.put(callFailed{call, reason})
 }
 
 // OperationEnded reports how an operation ended.
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -17,10 +17,13 @@
 
 func (m callSubmitted) apply(l *loop) { l.startCall(m.call) }
 
-// callCancelled reports that a call's client has disconnected or has cancelled the call.
-type callCancelled struct{ call *Call }
+// callFailed reports that a frontend ends a call, for example because its client has disconnected.
+type callFailed struct {
+	call   *Call
+	reason string
+}
 
-func (m callCancelled) apply(l *loop) { l.cancelCall(m.call) }
+func (m callFailed) apply(l *loop) { l.endCall(m.call, m.reason) }
 
 // operationResult reports how an operation ended.
 type operationResult struct {
--- a/internal/daemon/reasons.go
+++ b/internal/daemon/reasons.go
@@ -8,8 +8,8 @@
 // Reasons of rejections and failures, the same in answers and logs. docs/ops/running.md describes what an
 // operator can do about each.
 const (
-	// ReasonBadRequest: a field is out of the site's bounds, or the request is ranged and the site has no
-	// extents.
+	// ReasonBadRequest: a field is out of the site's bounds, the request is ranged and the site has no
+	// extents, or its body may be longer than its stated length.
 	ReasonBadRequest = "bad-request"
 	// ReasonBadRange: the range is empty, overflows, exceeds the site's bounds or does not match the payload.
 	ReasonBadRange = "bad-range"
--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -26,7 +26,7 @@
 // writeAnswer writes the answer to the client's connection and wakes the session.
 func (r *inFlightRequest) writeAnswer(answer proto.Answer, payload []byte) {
 	f := r.frontend
-	r.isLast = f.isLastAnswer(r.client, r.closeAfterAnswer)
+	r.isLast = f.isLastAnswer(r.client, r.closeAfterAnswer) || answer.Reason == daemon.ReasonBadRequest
 	status, header := statusOf(answer), answerHeader(answer)
 	if answer.Code != proto.OK {
 		payload = nil
@@ -47,6 +47,8 @@
 		return http.StatusServiceUnavailable
 	}
 	switch answer.Reason {
+	case daemon.ReasonBadRequest:
+		return http.StatusBadRequest
 	case daemon.ReasonNodeTimeout, daemon.ReasonNotInTime, daemon.ReasonOverdue:
 		return http.StatusGatewayTimeout
 	}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -46,6 +46,10 @@
 		}
 		request.body = body
 	}
+	if err := checkPipelined(client); err != nil {
+		f.bodyBytes.Add(-int64(len(request.body)))
+		return nil, err
+	}
 	request.call.Responder = request
 	request.call.ReceivedAt = f.loop.ArrivalTime(client.reader.ConsumedAt())
 	request.call.BacklogSince = time.Duration(f.accepting.backlogSince.Load())
@@ -64,9 +68,6 @@
 		_, _ = client.conn.Write([]byte(continueResponse)) // if this fails, reading the body does too
 	}
 	body, err := client.reader.ReadBody(head.Length)
-	if err == nil {
-		err = checkPipelined(client)
-	}
 	if err != nil {
 		f.bodyBytes.Add(-head.Length)
 		return nil, err
@@ -74,10 +75,16 @@
 	return body, nil
 }
 
-// checkPipelined returns an error if the bytes behind a request's body cannot begin another request: the body
-// may be longer than its stated length, and the first part of it must not be written as the whole.
+// pipelinedPrefix is the number of bytes by which the beginning of another request is recognized.
+const pipelinedPrefix = len(http.MethodGet + " ")
+
+// checkPipelined returns an error if the bytes behind a request, with or without a body, cannot begin another
+// request: its body may be longer than stated, and the first part of it must not be served as the whole.
 func checkPipelined(client *clientConn) error {
-	trailing := trailingBytes(client.conn, client.reader, len(http.MethodGet+" "))
+	return checkPipelinedBytes(trailingBytes(client.conn, client.reader, pipelinedPrefix))
+}
+
+func checkPipelinedBytes(trailing []byte) error {
 	return http1.CheckPipelined(trailing, http.MethodGet, http.MethodPut)
 }
 
@@ -100,10 +107,14 @@
 	} else {
 		f.loop.Submit(request.call)
 		client.finishHandling()
-		if !f.readAheadUntilAnswered(client) {
+		switch f.readAheadUntilAnswered(client) {
+		case readAheadDisconnected:
 			f.loop.CancelCall(request.call)
 			<-request.answered
 			return false
+		case readAheadInvalid:
+			f.counters.invalid.Add(1)
+			f.loop.FailCall(request.call, daemon.ReasonBadRequest)
 		}
 	}
 	<-request.answered
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -95,26 +95,37 @@
 	return client.closeRequested || f.closing
 }
 
+// readAheadResult states how reading ahead ended.
+type readAheadResult uint8
+
+const (
+	readAheadEnded        readAheadResult = iota // the answer is written, or no more can be read ahead
+	readAheadDisconnected                        // the client has disconnected
+	readAheadInvalid                             // what follows the request cannot begin another one
+)
+
 // readAheadUntilAnswered reads ahead while a request is in flight, so that a disconnect of the client is
-// detected whatever data arrived before it. It returns true when the answer is written or nothing more can be
-// read ahead, and false when the client has disconnected.
-func (f *frontend) readAheadUntilAnswered(client *clientConn) bool {
+// detected whatever data arrived before it.
+func (f *frontend) readAheadUntilAnswered(client *clientConn) readAheadResult {
 	for {
 		if isAnswered := f.recordPipelined(client); isAnswered {
-			return true
+			return readAheadEnded
+		}
+		if checkPipelinedBytes(client.reader.Unread(pipelinedPrefix)) != nil {
+			return readAheadInvalid
 		}
 		buffered := client.reader.Buffered()
 		if buffered > 0 && f.bodyBytes.Load() > f.limits.bodyBytes {
-			return true // the limit of body bytes allows no reading beyond the buffered data
+			return readAheadEnded // the limit of body bytes allows no reading beyond the buffered data
 		}
 		err := client.reader.ReadAhead(maxReadAhead)
 		switch {
 		case err == nil:
 			f.accountBuffer(client)
 		case errors.Is(err, http1.ErrBufferFull), isTimeout(err):
-			return true
+			return readAheadEnded
 		default:
-			return false
+			return readAheadDisconnected
 		}
 	}
 }
--- a/internal/platform/validation_test.go
+++ b/internal/platform/validation_test.go
@@ -47,6 +47,11 @@
 			"Length: 60000", "Length: 30000", 1), 400},
 		"body one byte longer than stated": {strings.Replace(payText("a1", "hello"), "Length: 5",
 			"Length: 4", 1), 400},
+		// Guards against a write that is forwarded and served without its body.
+		"body with a stated length of 0": {payText("a1", "") + "hello", 400},
+		"body without a length": {strings.Replace(payText("a1", ""), "Content-Length: 0\r\n", "", 1) +
+			strings.Repeat("x", 60_000), 400},
+		"GET with a body without a length": {valid + "hello", 400},
 		"request smuggling": {strings.Replace(payText("a1", ""), "Length: 0",
 			"Length: 4\r\nTransfer-Encoding: chunked", 1) + "0\r\n\r\n" + valid, 400},
 		"head too long": {"GET /api HTTP/1.1\r\n" +
