Keep hundreds of bad clients from slowing down the others

Cause: goroutines that never wait (accepting, draining a sender at full speed) held the one processor for 10 ms at a time, at each of the steps of a usual request; a client that read nothing had request after request served; and the runtime's memory limit left out the program.

Change: accepting and draining yield; a pipelined request begins once at most 16 KiB of the answers before it are unread, and the connection ends after 2 s; the kernel's buffers of a client are bounded; the memory limit leaves 12 MB for the program. Answers to errors and health checks that are not read no longer hold up ordered writes.

--- a/internal/arrival/listener.go
+++ b/internal/arrival/listener.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
+// maxKernelBuffer bounds the data that the kernel buffers for a connection in each direction, in bytes: the
+// largest message, and what the kernel needs beside it.
+const maxKernelBuffer = 128 << 10
+
 // tcpListenState is the state of a listening socket in the system's TCP information.
 const tcpListenState = 10
 
@@ -23,7 +28,9 @@
 // arrived when it is read. It begins to record them some milliseconds after the first socket of the machine
 // asks for them.
 func Listen(network, address string) (*Listener, error) {
-	config := net.ListenConfig{Control: recordArrivals}
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return errors.Join(recordArrivals(raw), limitBuffers(raw))
+	}}
 	listener, err := config.Listen(context.Background(), network, address)
 	if err != nil {
 		return nil, err
@@ -36,7 +43,7 @@
 func Wrap(tcp *net.TCPListener) (*Listener, error) {
 	listener, err := newListener(tcp)
 	if err == nil {
-		err = recordArrivals("", "", listener.raw)
+		err = recordArrivals(listener.raw)
 	}
 	return listener, err
 }
@@ -51,13 +58,23 @@
 }
 
 // recordArrivals makes the kernel record times of arrival. Accepted connections inherit the setting.
-func recordArrivals(_, _ string, raw syscall.RawConn) error {
+func recordArrivals(raw syscall.RawConn) error {
 	return raw.Control(func(descriptor uintptr) {
 		// Without the setting, Conn falls back to the time of reading.
 		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_TIMESTAMPNS, 1)
 	})
 }
 
+// limitBuffers bounds the kernel's buffers of each connection, which it would otherwise let grow to some
+// megabytes. Accepted connections inherit the setting.
+func limitBuffers(raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		// Without the setting, the kernel's own bounds hold.
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, maxKernelBuffer)
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, maxKernelBuffer)
+	})
+}
+
 // Accept returns the next connection, which is a *Conn.
 func (l *Listener) Accept() (net.Conn, error) {
 	tcp, err := l.tcp.AcceptTCP()
--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"runtime"
 	"time"
 
 	"landingpaddle/internal/arrival"
@@ -80,6 +81,7 @@
 			return
 		}
 		maxBytes -= int64(count)
+		runtime.Gosched() // a sender at full speed leaves no read waiting
 	}
 }
 
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,7 @@
 			conn.Close()
 		}
 		f.accepting.finishOne(f.loop.Now())
+		runtime.Gosched() // requests in flight take precedence over further connections
 	}
 }
 
--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -78,6 +78,7 @@
 	default:
 		return
 	}
+	client.finishHandling() // before the answer, as the client may not read it
 	f.counters.invalid.Add(1)
 	f.log.Debug(messageInvalidRequest, attrStatus, invalid.Status, attrReason, invalid.Reason)
 	body := []byte(invalid.Reason + "\n")
--- a/internal/platform/arrivals.go
+++ b/internal/platform/arrivals.go
@@ -28,14 +28,15 @@
 }
 
 // isUnsubmitted reports whether a client's next request may have arrived before a time and is not submitted
-// yet. While a request is in flight, only that one counts, until Submit has returned.
+// yet. While a request is in flight, only that one counts, until Submit has returned. A request behind
+// answers that the client does not read does not count.
 func (f *frontend) isUnsubmitted(client *clientConn, before time.Time) bool {
 	f.mu.Lock()
 	_, isOpen := f.connections[client]
 	state, isBuffered := client.state, client.hasPipelined
 	f.mu.Unlock()
 	switch {
-	case !isOpen || client.arrivals == nil:
+	case !isOpen || client.arrivals == nil || state == stateUnread:
 		return false
 	case state == stateWorking:
 		return client.arrivals.IsUnhandled(before)
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -24,6 +24,7 @@
 	stateIdle    connState = iota // nothing of the next request has arrived
 	stateReading                  // a part of it has arrived
 	stateWorking                  // it is in flight
+	stateUnread                   // the next request waits until the client has read the answers before it
 )
 
 // clientConn is one client's connection. Only the goroutine of its session reads it, shuts it down and closes
@@ -102,6 +103,13 @@
 	client.conn.SetReadDeadline(time.Time{})
 }
 
+// beginUnread records that a connection's next request waits until the client has read the answers before it.
+func (f *frontend) beginUnread(client *clientConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	client.state, client.stateSince = stateUnread, time.Now()
+}
+
 // endProcessing records that a request's answer is written, and wakes the session if the connection must end
 // or a part of the next request has arrived.
 func (f *frontend) endProcessing(client *clientConn, isLast bool) {
--- a/internal/platform/eviction.go
+++ b/internal/platform/eviction.go
@@ -19,6 +19,7 @@
 	evictIdleAfter    = 200 * time.Millisecond
 	evictSilentAfter  = 5 * time.Millisecond
 	evictReadingAfter = 700 * time.Millisecond
+	evictUnreadAfter  = 200 * time.Millisecond
 
 	// keepNone makes closeIdle close every connection that has idled for the given time.
 	keepNone = -1
@@ -47,6 +48,8 @@
 		return rankSilent, evictSilentAfter
 	case c.state == stateReading:
 		return rankReading, evictReadingAfter
+	case c.state == stateUnread:
+		return rankReading, evictUnreadAfter
 	}
 	return rankIdle, evictIdleAfter
 }
@@ -118,16 +121,14 @@
 }
 
 // evict requests that a connection's session end it, and reports whether it did. It does nothing to a
-// connection with a request in flight or with unread data, nor to one whose close is already requested. With
-// countAsLingering the connection counts as lingering from now on, so that a new one can be accepted at
-// once.
+// connection with a request in flight, nor to one whose close is already requested, nor, unless its client
+// reads no answers, to one with unread data. With countAsLingering the connection counts as lingering from
+// now on, so that a new one can be accepted at once.
 func (f *frontend) evict(client *clientConn, countAsLingering bool) bool {
-	if !isOpenAndEmpty(client.conn) {
-		return false
-	}
+	isEmpty := isOpenAndEmpty(client.conn)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if client.state == stateWorking || client.closeRequested {
+	if client.state == stateWorking || client.closeRequested || !isEmpty && client.state != stateUnread {
 		return false
 	}
 	client.closeRequested = true
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -41,6 +41,7 @@
 	refused      atomic.Uint64 // connections that could not be accepted, or were closed at once
 	roomWait     atomic.Uint64 // microseconds in which new connections waited for others to end
 	evicted      atomic.Uint64 // connections closed by makeRoom so that another can be accepted
+	unread       atomic.Uint64 // connections closed because the client did not read its answers
 	silent       atomic.Uint64 // connections that ended before a byte of a request arrived
 	invalid      atomic.Uint64 // invalid, late or duplicate requests, and those over bodyBytes
 	duplicateIDs atomic.Uint64 // requests with the id of one in flight
@@ -73,7 +74,7 @@
 	silent  int // no request sent yet
 	reading int // a part of a request received
 	idle    int // between requests
-	working int // a request in flight
+	working int // a request in flight, or the answers before it unread
 }
 
 func (f *frontend) countByState() (counts connectionCounts) {
@@ -81,7 +82,7 @@
 	defer f.mu.Unlock()
 	for client := range f.connections {
 		switch {
-		case client.state == stateWorking:
+		case client.state == stateWorking || client.state == stateUnread:
 			counts.working++
 		case client.state == stateReading:
 			counts.reading++
--- a/internal/platform/gateway_fixture_test.go
+++ b/internal/platform/gateway_fixture_test.go
@@ -23,6 +23,10 @@
 		}
 		return
 	}
+	if crowd := os.Getenv(crowdProcessVariable); crowd != "" {
+		runCrowdProcess(crowd)
+		return
+	}
 	arrivaltest.RunTests(m)
 }
 
--- a/internal/platform/health.go
+++ b/internal/platform/health.go
@@ -5,6 +5,7 @@
 // serveHealth answers a health check of the platform, and reports whether the connection stays open.
 func (f *frontend) serveHealth(client *clientConn, closeAfterAnswer bool) bool {
 	f.beginProcessing(client)
+	client.finishHandling() // before the answer, as the client may not read it
 	staysOpen := f.answerHealth(client, closeAfterAnswer)
 	f.endProcessing(client, !staysOpen)
 	if !staysOpen {
--- a/internal/platform/held_up_test.go
+++ b/internal/platform/held_up_test.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	ApplyRuntimeLimits(config)
 	gateway, err := New(config, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	if err != nil {
 		return err
@@ -52,10 +53,21 @@
 
 // startGatewayProcess starts a scheduler with one disk server. Its writes are ordered by key.
 func startGatewayProcess(t *testing.T, diskServer *fakeDiskServer) *gatewayProcess {
+	t.Helper()
+	return startGatewayProcessWith(t, diskServer, nil)
+}
+
+// startGatewayProcessWith is startGatewayProcess with a configuration file that is passed through change,
+// unless that is nil.
+func startGatewayProcessWith(t *testing.T, diskServer *fakeDiskServer,
+	change func(string) string) *gatewayProcess {
 	t.Helper()
 	list := List{Generation: 7, Reset: true, Instances: []ListedServer{listedServer("s-0", diskServer, 0)}}
 	discovery := newFakeDiscovery(t, list)
 	document := withOrderedWrites(t)(string(configDocument(discovery.address(), &list, 256)))
+	if change != nil {
+		document = change(document)
+	}
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(document), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -39,8 +39,11 @@
 	keptIdleDivisor = 4
 	// bodyMemoryDivisor divides the memory; the quotient is the limit of request bodies in flight.
 	bodyMemoryDivisor = 8
-	// The runtime's memory limit is this share of the machine's memory.
-	memoryLimitNumerator, memoryLimitDenominator = 6, 10
+	// The runtime's memory limit is at most this share of the machine's memory, and of what programBytes
+	// leaves of it.
+	memoryLimitPercent, remainingMemoryPercent = 60, 85
+	// programBytes is the memory of the program's text and data, which the runtime's limit does not include.
+	programBytes = 12 << 20
 )
 
 // limitsFor divides the machine's resources. Clients get more connections than they usually need, as some of
@@ -57,7 +60,7 @@
 		upstream:     available - clients,
 		openRequests: clients - lingering,
 		bodyBytes:    memory / bodyMemoryDivisor,
-		memoryBytes:  memory * memoryLimitNumerator / memoryLimitDenominator,
+		memoryBytes:  runtimeMemory(memory),
 	}
 	if maxOpen := config.Site.MaxOpenRequests; maxOpen > 0 {
 		limits.openRequests = min(limits.openRequests, maxOpen)
@@ -65,6 +68,12 @@
 	return limits
 }
 
+// runtimeMemory returns the soft memory limit of the Go runtime in bytes for a machine's memory.
+func runtimeMemory(memory int64) int64 {
+	remaining := max(memory-programBytes, memory/4)
+	return min(memory*memoryLimitPercent/100, remaining*remainingMemoryPercent/100)
+}
+
 // ApplyRuntimeLimits sets the Go runtime's number of processors and its soft memory limit from the machine's
 // limits in the configuration. It changes the whole process.
 func ApplyRuntimeLimits(config *Config) {
--- a/internal/platform/limits_test.go
+++ b/internal/platform/limits_test.go
@@ -2,6 +2,18 @@
 
 import "testing"
 
+// The runtime's memory limit leaves room for the program itself and is positive.
+func TestLimits_LeaveMemoryForProgram(t *testing.T) {
+	for megabytes := 16; megabytes <= 4096; megabytes++ {
+		limits := limitsFor(&Config{Limits: Limits{Sockets: 256, MemoryMB: megabytes}})
+		memory := int64(megabytes) << 20
+		if limits.memoryBytes <= 0 || limits.memoryBytes+programBytes > memory {
+			t.Fatalf("%d MB: got a limit of %d bytes, want room for %d more", megabytes, limits.memoryBytes,
+				programBytes)
+		}
+	}
+}
+
 // For every limit of file descriptors, all connections and the reserved descriptors together fit into it.
 func TestLimits_FitFileDescriptors(t *testing.T) {
 	for sockets := minSockets; sockets <= 4096; sockets++ {
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -47,6 +47,7 @@
 	// Client connections and requests, counted since the start.
 	attrClientsAccepted     = "clients_accepted"
 	attrClientsRefused      = "clients_refused"
+	attrClientsUnread       = "clients_unread"
 	attrClientsRoomWait     = "clients_room_wait_us"
 	attrClientsEvicted      = "clients_evicted"
 	attrClientsNeverSent    = "clients_never_sent"
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -103,6 +103,7 @@
 	}
 	f.beginProcessing(client)
 	if reason := f.loop.Admit(f.limits.openRequests); reason != "" {
+		client.finishHandling() // before the answer, as the client may not read it
 		f.reject(request, reason)
 	} else {
 		f.loop.Submit(request.call)
--- a/internal/platform/session.go
+++ b/internal/platform/session.go
@@ -9,8 +9,17 @@
 	"landingpaddle/internal/http1"
 )
 
-// maxReadAhead bounds the data buffered from a client's connection while a request is in flight, in bytes.
-const maxReadAhead = 128 << 10
+const (
+	// maxReadAhead bounds the data buffered from a client's connection while a request is in flight, in
+	// bytes.
+	maxReadAhead = 128 << 10
+	// maxUnreadAnswers bounds the bytes written to a client that it has not received when its next request
+	// begins, if that arrived before the answer to the last one was written.
+	maxUnreadAnswers = 16 << 10
+	// minUnreadWait and maxUnreadWait are the first and the longest interval between two checks of that.
+	minUnreadWait = 500 * time.Microsecond
+	maxUnreadWait = 32 * time.Millisecond
+)
 
 // runSession serves one connection, one request after another, and closes it.
 func (f *frontend) runSession(client *clientConn) {
@@ -33,12 +42,32 @@
 			f.answerError(client, err)
 			return
 		}
-		if !f.process(request) {
+		if !f.process(request) || !f.awaitReadAnswers(client) {
 			return
 		}
 	}
 }
 
+// awaitReadAnswers waits, if the next request has arrived already, until the client has read most of what was
+// written to it, and reports false if it does not within writeTimeout. Otherwise a client that reads nothing
+// would have request after request served, until its answers fill the kernel's buffers and ours.
+func (f *frontend) awaitReadAnswers(client *clientConn) bool {
+	if client.reader.Buffered() == 0 || unsentBytes(client.conn) <= maxUnreadAnswers {
+		return true
+	}
+	f.beginUnread(client)
+	deadline := time.Now().Add(writeTimeout)
+	wait := minUnreadWait
+	for ; unsentBytes(client.conn) > maxUnreadAnswers; wait = min(2*wait, maxUnreadWait) {
+		if time.Now().After(deadline) || f.isCloseRequested(client) {
+			f.counters.unread.Add(1)
+			return false
+		}
+		time.Sleep(wait)
+	}
+	return true
+}
+
 func isHealthRequest(head *http1.Request) bool {
 	path, _, _ := strings.Cut(head.Target, "?")
 	return path == pathHealth && head.Method == http.MethodGet
@@ -73,6 +102,12 @@
 	}
 }
 
+func (f *frontend) isCloseRequested(client *clientConn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return client.closeRequested
+}
+
 func (f *frontend) requestClose(client *clientConn) {
 	f.mu.Lock()
 	client.closeRequested = true
--- a/internal/platform/session_test.go
+++ b/internal/platform/session_test.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"testing"
@@ -97,6 +99,49 @@
 	}
 }
 
+// Guards against a client that reads no answers and has request after request served: hundreds of them kept
+// the scheduler from others. The next request begins once the client has read most of the answers; if it
+// never does, its connection ends, and meanwhile no ordered request waits for it.
+func TestSession_BeginsNextRequestOnceAnswersAreRead(t *testing.T) {
+	const pipelined, mostUnread = 20, 6 // 4 KB to 128 KB are buffered by the client, 16 KB may be unread
+	answer := okResponse(strings.Repeat("y", largeBodyBytes))
+	for name, isReading := range map[string]bool{"reads late": true, "never reads": false} {
+		t.Run(name, func(t *testing.T) {
+			diskServer := newFakeDiskServer(t, func(int, *receivedRequest) []byte { return answer })
+			fixture := startGateway(t, 256, diskServer)
+			client := fixture.dial()
+			if err := client.conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+				t.Fatal(err)
+			}
+			for n := range pipelined {
+				client.send(readText(fmt.Sprintf("a%d", n)))
+			}
+			connection := fixture.awaitOnlyClient(stateUnread)
+			if count := len(diskServer.received()); count > mostUnread {
+				t.Errorf("got %d requests begun with no answer read, want at most %d", count, mostUnread)
+			}
+			if fixture.gateway.frontend.isUnsubmitted(connection, time.Now()) {
+				t.Error("got a request that counts as not submitted, want none")
+			}
+			if isReading {
+				for n := range pipelined {
+					// The time of the later ones may have passed.
+					if status, _, _ := client.readAnswer(); status != 200 && (n == 0 || status != 503) {
+						t.Fatalf("request %d: got status %d, want 200, or 503 of a later one", n, status)
+					}
+				}
+				return
+			}
+			eventually(t, "the connection has ended", func() bool {
+				return fixture.gateway.frontend.countByState() == connectionCounts{}
+			})
+			if count := fixture.gateway.frontend.counters.unread.Load(); count != 1 {
+				t.Errorf("got %d connections counted as unread, want 1", count)
+			}
+		})
+	}
+}
+
 // The time of a pipelined request counts from its arrival, not from the end of the request before it.
 func TestSession_CountsTimeFromArrivalOfPipelinedRequest(t *testing.T) {
 	diskServer, release := newBlockingDiskServer(t)
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"landingpaddle/internal/http1"
 )
 
@@ -42,6 +44,25 @@
 	return count, nil
 }
 
+// unsentBytes returns the number of bytes written to a connection that its peer has not acknowledged; 0 if
+// the system does not tell.
+func unsentBytes(conn net.Conn) (count int) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(descriptor uintptr) { // if it fails, count stays 0
+		if queued, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ); err == nil {
+			count = queued
+		}
+	})
+	return count
+}
+
 // trailingBytes returns the first bytes, at most limit, that have arrived behind the messages that a reader
 // has read from a connection. It consumes none of them and does not wait for more.
 func trailingBytes(conn net.Conn, reader *http1.Reader, limit int) []byte {
--- a/internal/platform/status.go
+++ b/internal/platform/status.go
@@ -64,6 +64,7 @@
 		slog.Uint64(attrClientsRoomWait, counters.roomWait.Load()),
 		slog.Uint64(attrClientsNeverSent, counters.silent.Load()),
 		slog.Uint64(attrClientsEvicted, counters.evicted.Load()),
+		slog.Uint64(attrClientsUnread, counters.unread.Load()),
 		slog.Uint64(attrRequestsInvalid, counters.invalid.Load()),
 		slog.Uint64(attrRequestsDuplicateID, counters.duplicateIDs.Load()),
 		slog.Uint64(attrRequestsOverLimit, counters.overLimit.Load()),
