Remember the ids of requests that may have run, so that none runs twice

Cause: the frontend gave an id free with the request's answer. For a client that has left, that comes at once, while its attempt may be out or have run.

Change: requestIDs remembers for 10 s, within a 64th of the memory, the ids of requests that failed, whose client left, or that wrote and were served. A request under such an id gets 409.

--- a/internal/platform/answer.go
+++ b/internal/platform/answer.go
@@ -19,7 +19,7 @@
 // Respond starts writing the request's one final answer. It is called on the loop's goroutine and returns
 // before the answer is written.
 func (r *inFlightRequest) Respond(answer proto.Answer, payload []byte) {
-	r.frontend.releaseID(r)
+	r.frontend.releaseID(r, answer.Code)
 	go r.writeAnswer(answer, payload)
 }
 
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -24,14 +24,14 @@
 	accepting acceptQueue
 	freed     chan struct{} // holds a value once a connection has ended since the last receive
 
-	keepIdle  atomic.Bool  // set by a shutdown: idle connections stay open, as no new ones are expected
+	keepIdle  atomic.Bool // set by a shutdown: idle connections stay open, as no new ones are expected
+	ids       *requestIDs
 	bodyBytes atomic.Int64 // of request bodies in flight, and of read buffers beyond maxClientHead
 
 	mu          sync.Mutex
 	closing     bool // connections end as soon as no request is in flight on them
 	connections map[*clientConn]struct{}
-	lingering   []*clientConn       // closing connections, removed from connections; oldest first
-	openIDs     map[string]struct{} // ids of requests in flight
+	lingering   []*clientConn // closing connections, removed from connections; oldest first
 
 	counters frontendCounters
 }
@@ -44,14 +44,14 @@
 	unread       atomic.Uint64 // connections closed because the client did not read its answers
 	silent       atomic.Uint64 // connections that ended before a byte of a request arrived
 	invalid      atomic.Uint64 // invalid, late or duplicate requests, and those over bodyBytes
-	duplicateIDs atomic.Uint64 // requests with the id of one in flight
+	duplicateIDs atomic.Uint64 // requests with the id of one that is in flight or may have run
 	overLimit    atomic.Uint64 // requests rejected because a limit was reached, or during a shutdown
 }
 
 func newFrontend(loop *daemon.EventLoop, site *wire.Site, log *slog.Logger, limits resourceLimits) *frontend {
 	return &frontend{loop: loop, site: site, log: log, limits: limits,
 		freed:       make(chan struct{}, 1),
-		connections: map[*clientConn]struct{}{}, openIDs: map[string]struct{}{}}
+		connections: map[*clientConn]struct{}{}, ids: newRequestIDs(limits.usedIDs)}
 }
 
 // unregister removes a connection whose session ends.
--- a/internal/platform/gateway_test.go
+++ b/internal/platform/gateway_test.go
@@ -56,10 +56,10 @@
 	if heapAfter := heapBytes(); heapAfter > heapBefore+(3<<20) {
 		t.Errorf("heap before: %d bytes; got %d after, want at most 3 MiB more", heapBefore, heapAfter)
 	}
-	frontend.mu.Lock()
-	defer frontend.mu.Unlock()
-	if len(frontend.openIDs) != 0 || frontend.bodyBytes.Load() != 0 {
-		t.Errorf("got %d open ids and %d bytes of bodies, want none", len(frontend.openIDs),
+	frontend.ids.mu.Lock()
+	defer frontend.ids.mu.Unlock()
+	if len(frontend.ids.open) != 0 || frontend.bodyBytes.Load() != 0 {
+		t.Errorf("got %d open ids and %d bytes of bodies, want none", len(frontend.ids.open),
 			frontend.bodyBytes.Load())
 	}
 	if open, _ := upstream.countConnections(); open > openBefore+2 {
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -20,6 +20,7 @@
 	keptIdle     int   // client connections that may idle for maxIdleTime
 	upstream     int   // connections to disk servers
 	openRequests int   // requests in flight
+	usedIDs      int   // ids of requests that may have run, to remember
 	bodyBytes    int64 // limit of frontend.bodyBytes
 	memoryBytes  int64 // soft memory limit of the Go runtime
 }
@@ -39,6 +40,9 @@
 	keptIdleDivisor = 4
 	// bodyMemoryDivisor divides the memory; the quotient is the limit of request bodies in flight.
 	bodyMemoryDivisor = 8
+	// usedIDMemoryDivisor divides the memory; the quotient is the memory for ids of requests that may have
+	// run, each of which takes about usedIDBytes.
+	usedIDMemoryDivisor, usedIDBytes = 64, 128
 	// The runtime's memory limit is at most this share of the machine's memory, and of what programBytes
 	// leaves of it.
 	memoryLimitPercent, remainingMemoryPercent = 60, 85
@@ -59,6 +63,7 @@
 		keptIdle:     config.Limits.Sockets / keptIdleDivisor,
 		upstream:     available - clients,
 		openRequests: clients - lingering,
+		usedIDs:      int(memory / usedIDMemoryDivisor / usedIDBytes),
 		bodyBytes:    memory / bodyMemoryDivisor,
 		memoryBytes:  runtimeMemory(memory),
 	}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -100,11 +100,11 @@
 	if presence == clientDisconnected {
 		return false
 	}
-	if !f.reserveID(request.id) {
+	if !f.ids.reserve(request.id, time.Now()) {
 		f.counters.duplicateIDs.Add(1)
 		f.answerError(client, &http1.Error{
 			Status: http.StatusConflict,
-			Reason: "a request of this id is open",
+			Reason: "a request of this id is open or may have run",
 		})
 		return false
 	}
@@ -138,7 +138,7 @@
 
 // reject answers a request that the loop did not admit.
 func (f *frontend) reject(request *inFlightRequest, reason string) {
-	f.releaseID(request)
+	f.releaseID(request, proto.Rejected)
 	f.counters.overLimit.Add(1)
 	f.log.Debug(messageRequestRejected, attrReason, reason, attrRequestID, request.id)
 	answer := proto.Answer{Code: proto.Rejected, Reason: reason}
@@ -148,19 +148,9 @@
 	request.writeAnswer(answer, nil)
 }
 
-// reserveID reserves an id for a request in flight, and reports false if another one has it.
-func (f *frontend) reserveID(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if _, taken := f.openIDs[id]; taken {
-		return false
-	}
-	f.openIDs[id] = struct{}{}
-	return true
-}
-
-func (f *frontend) releaseID(request *inFlightRequest) {
-	f.mu.Lock()
-	delete(f.openIDs, request.id)
-	f.mu.Unlock()
+// releaseID ends the reservation of a request's id with its answer. A request that was rejected has not run,
+// and a read that was served may run again.
+func (f *frontend) releaseID(request *inFlightRequest, code proto.Code) {
+	mayHaveRun := code == proto.Failed || code == proto.OK && request.call.Request.Write
+	f.ids.release(request.id, mayHaveRun, time.Now())
 }
