Answer all requests of a shutdown 0.2 s before the kill

Cause: open requests were answered 0.1 s before the kill, and a hold-up may last 0.15 s.

Change: killMargin is 0.2 s, the longest hold-up and the 50 ms of every limit on sockets. The process still exits 50 ms before the kill.

--- a/internal/platform/held_up_test.go
+++ b/internal/platform/held_up_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -36,6 +37,12 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	terminated := make(chan os.Signal, 1)
+	signal.Notify(terminated, syscall.SIGTERM)
+	go func() {
+		<-terminated
+		gateway.Shutdown()
+	}()
 	go func() {
 		fmt.Println(<-gateway.started)
 		_, _ = io.Copy(io.Discard, os.Stdin)
@@ -99,7 +106,7 @@
 	return process
 }
 
-func (p *gatewayProcess) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
+func (p *gatewayProcess) signal(number syscall.Signal) { _ = p.command.Process.Signal(number) }
 
 // holdUp stops the process for a while.
 func (p *gatewayProcess) holdUp(duration time.Duration) {
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -16,8 +16,8 @@
 	minAnswerTime      = 200 * time.Millisecond // for the requests accepted last
 	maxDeadlineCounted = 3 * time.Second        // a longer deadline counts as this
 	killGrace          = 700 * time.Millisecond
-	killMargin         = 100 * time.Millisecond // all requests are answered this long before the kill
-	exitMargin         = killMargin / 2         // the process exits this long before the kill
+	killMargin         = 200 * time.Millisecond // from the last answer to the kill; the longest hold-up fits
+	exitMargin         = 50 * time.Millisecond  // the process exits this long before the kill
 )
 
 // shutdownCauseRequested is the logged cause of a graceful shutdown; the only cause is a call of Shutdown.
@@ -59,7 +59,7 @@
 // connections.
 func (g *Gateway) exitDeadline() time.Time {
 	schedule := shutdownScheduleFor(&g.config.Site.Settings)
-	return g.shutdownAt.Add(schedule.answerWithin + exitMargin)
+	return g.shutdownAt.Add(schedule.answerWithin + killMargin - exitMargin)
 }
 
 // runShutdown performs a graceful shutdown once it is requested: clients are served until acceptFor has
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -52,6 +53,46 @@
 	fixture.done <- nil
 }
 
+// Guards against requests that are not answered before the kill, as the process is held up for up to 0.15 s
+// just before it.
+func TestShutdown_AnswersDespiteHoldUpBeforeKill(t *testing.T) {
+	const (
+		killAfter = 2700 * time.Millisecond // the longest deadline and 0.7 s
+		sendAfter = killAfter - 600*time.Millisecond
+		heldFor   = 135 * time.Millisecond
+		requests  = 6
+	)
+	diskServer := newFakeDiskServer(t, func(_ int, request *receivedRequest) []byte {
+		if request.head.Method == "PUT" {
+			time.Sleep(killAfter)
+		}
+		return okResponse("ok")
+	})
+	process := startGatewayProcess(t, diskServer)
+	var clients []*testClient
+	for n := range requests {
+		client := process.dial()
+		client.send(readText(fmt.Sprintf("a%d", n)))
+		client.readAnswer()
+		clients = append(clients, client)
+	}
+	began := time.Now()
+	process.signal(syscall.SIGTERM)
+	time.Sleep(time.Until(began.Add(sendAfter)))
+	for n, client := range clients {
+		client.send(payText(fmt.Sprintf("b%d", n), "x"))
+	}
+	time.Sleep(time.Until(began.Add(killAfter - heldFor)))
+	process.signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(began.Add(killAfter)))
+	process.signal(syscall.SIGKILL)
+	for n, client := range clients {
+		if _, err := client.reader.Peek(1); err != nil {
+			t.Errorf("request %d, sent 0.6 s before the kill: got no answer: %v", n, err)
+		}
+	}
+}
+
 // At a shutdown every received request is answered, pipelined ones too, and only the last answer has
 // Connection: close.
 func TestShutdown_AnswersPipelinedRequests(t *testing.T) {
