Hear discovery that takes up to 7.5 s for a call

Cause: every call was given up after 4.5 s, so there never was a watch on which the drain could be told.

Change: every 1.5 s one call for the watch waits for 7.5 s; before, every second one for 4.5 s. At most six wait at once, as before (TestEndpointWatch_FewCallsWaitAtOnce, unchanged). A fetch of the whole list still waits for 4.5 s, as only one is made at a time.

--- a/internal/platform/discovery_fetch.go
+++ b/internal/platform/discovery_fetch.go
@@ -61,7 +61,7 @@
 
 // fetchList fetches the full list and applies it.
 func (d *discovery) fetchList(fetch *fetchCall, address string) error {
-	response, err := d.call(fetch.ctx, "http://"+address+pathServers, scheduler.WatchResponseTimeout)
+	response, err := d.call(fetch.ctx, "http://"+address+pathServers, scheduler.FetchResponseTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/slow_discovery_test.go
+++ b/internal/platform/slow_discovery_test.go
@@ -45,6 +45,41 @@
 	}
 }
 
+// Guards against a discovery service that is never heard as it takes 5 s for each call: writes went on to a
+// disk server that had been draining for long. Changes that come once the watch is open are heard at once.
+func TestDiscovery_HearsServiceThatTakesSeconds(t *testing.T) {
+	const delay, changeAfter = 5 * time.Second, 8 * time.Second
+	for name, change := range map[string]func(string) string{"pushed": withPushedList(t), "asked for": nil} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			diskServer := newOKDiskServer(t)
+			began := time.Now()
+			script := func(_ int, _ string, connection net.Conn, ended <-chan struct{}) {
+				writeMessage(connection, listDocument(8, true, listedServer("s-0", diskServer, 0)))
+				for isChanged := false; ; {
+					select {
+					case <-ended:
+						return
+					case <-time.After(time.Second):
+						io.WriteString(connection, chunk("\n"))
+					case <-time.After(time.Until(began.Add(changeAfter))):
+						if !isChanged {
+							change := listDocument(9, false, drainingServer("s-0", diskServer, 0))
+							io.WriteString(connection, chunk(change+"\n"))
+							isChanged = true
+						}
+						time.Sleep(time.Second)
+					}
+				}
+			}
+			discovery := newScriptedDiscovery(t, afterDelay(delay, script))
+			fixture := startGatewayAt(t, discovery.address(), diskServer, change)
+			drainGrace := fixture.gateway.config.Site.Settings.DrainGrace
+			fixture.awaitListVersion(9, began.Add(changeAfter+drainGrace))
+		})
+	}
+}
+
 // After a reload, a new discovery service that is slow is heard before the scheduler counts as notified of
 // its list.
 func TestReload_HearsSlowService(t *testing.T) {
--- a/scheduler/endpoint_watch.go
+++ b/scheduler/endpoint_watch.go
@@ -15,13 +15,16 @@
 	// reopenDelaysPerPushGrace is the number of minimum reopen delays that fit into PushGrace, so that the
 	// longest delay is half of it.
 	reopenDelaysPerPushGrace = 4
-	// WatchResponseTimeout is how long a registry that is slow may take to respond to a call. An instance
-	// counts as notified of a change 6 s after the registry could be reached, and until then a call must have
-	// been opened and have had this long.
-	WatchResponseTimeout = 4500 * time.Millisecond
+	// WatchResponseTimeout is how long a registry that is slow may take to respond to a call for the watch.
+	// An instance counts as notified of a change 6 s after the registry could be reached; a watch that takes
+	// even longer to open is still of use for later changes.
+	WatchResponseTimeout = 7500 * time.Millisecond
+	// FetchResponseTimeout is how long it may take to respond to a call for the whole list. Only one such
+	// call waits at a time, and it may have been lost.
+	FetchResponseTimeout = 4500 * time.Millisecond
 	// longCallInterval is the minimum time between calls that wait for WatchResponseTimeout, so that few
 	// calls wait at once. The calls between them wait until the next call.
-	longCallInterval = time.Second
+	longCallInterval = 1500 * time.Millisecond
 )
 
 // endpointWatch tracks the watch of the endpoint list.
