Let connections to disk servers rest for 50 ms after an answer

Cause: a connection was used again 10 ms after its last answer if nothing had arrived on it by then; what is on its way is read as the next answer, as nothing in one names its request.

--- a/internal/platform/fake_disk_server_test.go
+++ b/internal/platform/fake_disk_server_test.go
@@ -31,6 +31,7 @@
 	head       *http1.Request
 	body       []byte
 	connection int // number of its connection, from 0
+	conn       net.Conn
 }
 
 // field returns the first value of a header field.
@@ -100,7 +101,7 @@
 		if err != nil {
 			return
 		}
-		request := &receivedRequest{head, body, n}
+		request := &receivedRequest{head, body, n, conn}
 		response := s.script(s.record(request), request)
 		if response == nil {
 			return
--- a/internal/platform/upstream_conn.go
+++ b/internal/platform/upstream_conn.go
@@ -16,9 +16,10 @@
 	// idleFraction is the part of the disk servers' idle timeout for which a connection may stay idle in the
 	// pool, so that it is closed before the disk server closes it.
 	idleFraction = 0.8
-	// settleTime is the time after a response within which unsolicited bytes are assumed to arrive. A
+	// settleTime is the time after a response within which unsolicited bytes, such as a late second copy of
+	// it, are assumed to arrive. A
 	// connection is settled once it has been idle for that time, or if it has not been used yet.
-	settleTime = 10 * time.Millisecond
+	settleTime = 50 * time.Millisecond
 	// defaultIdleTimeout is how long a connection may idle if the settings specify no idle timeout.
 	defaultIdleTimeout    = time.Minute
 	defaultConnectTimeout = time.Second
