Wait for the rest of a body where the pieces of answers arrive apart

Cause: what is behind an answer was looked at once, when its stated length had been read.

Change: the pool learns over how long the pieces of one answer arrive, and an answer waits twice that for bytes behind it, 4 to 6 ms; where answers arrive whole, it does not wait. The first answers of a process wait, as nothing is known yet.

TestGateway_ReleasesAllResources warmed up with 50 requests, too few now that the first answers wait and connections rest longer; it uses 400 and a rest of 10 ms, with the same bounds after. TestAttempt_DropsConnectionWithUnsolicitedBytes waits for longer than the new rest.

--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -30,7 +30,9 @@
 	emptyAt      time.Time // when Read last found nothing to read; zero: never
 	wasEmpty     bool      // the present call of Read has found nothing to read
 	seenAt       time.Time // see LastSeen
-	isUnrecorded bool      // the system does not provide times of arrival
+	firstReadAt  time.Time // of the data read since BeginSpread; zero: none was read
+	lastReadAt   time.Time
+	isUnrecorded bool // the system does not provide times of arrival
 
 	lastArrival atomic.Int64 // nanoseconds since base
 	isUnhandled atomic.Bool  // data may have been read on which the reader has not finished its work
@@ -79,7 +81,12 @@
 		c.isUnhandled.Store(false) // no message can be completed any more
 		return 0, err
 	}
-	c.recordArrival(time.Now())
+	now := time.Now()
+	c.recordArrival(now)
+	c.lastReadAt = now
+	if c.firstReadAt.IsZero() {
+		c.firstReadAt = now
+	}
 	if c.wasEmpty {
 		c.seenAt = c.LastArrival()
 	}
@@ -160,6 +167,13 @@
 // while nothing was. Like Read, it may be called by one goroutine only.
 func (c *Conn) LastSeen() time.Time { return c.seenAt }
 
+// BeginSpread states that the next data read begins a message. Like Read, it may be called by one goroutine
+// only, and so may Spread.
+func (c *Conn) BeginSpread() { c.firstReadAt, c.lastReadAt = time.Time{}, time.Time{} }
+
+// Spread returns the time between the first and the last read since BeginSpread.
+func (c *Conn) Spread() time.Duration { return c.lastReadAt.Sub(c.firstReadAt) }
+
 // HasHungUp reports whether the peer has closed the connection or its sending side, or the connection broke,
 // whatever data is unread. A close shows only once the kernel has received all data sent before it.
 func (c *Conn) HasHungUp() (hasHungUp bool) {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -107,6 +107,7 @@
 // roundTrip writes the request and reads the response. The connection is kept if another attempt can use it.
 func (a *attempt) roundTrip(connection *upstreamConn, entry addressEntry) attemptResult {
 	timeLeft := a.operation.Deadline() - a.pool.loop.Now()
+	connection.beginResponse()
 	if _, err := connection.conn.Write(a.encodeRequest(entry.address, timeLeft)); err != nil {
 		a.pool.discard(connection)
 		return attemptResult{code: scheduler.ConnectFailed} // the request's last byte was not written
@@ -119,7 +120,7 @@
 		a.reportInvalid(entry, err)
 		return attemptResult{code: scheduler.Reset}
 	}
-	trailing := trailingBytes(connection.conn, connection.reader, maxUpstreamHead)
+	trailing := a.awaitTrailing(connection)
 	if len(trailing) > 0 {
 		a.pool.counters.unsolicited.Add(1)
 	}
@@ -139,6 +140,20 @@
 	return result
 }
 
+// awaitTrailing returns what has arrived behind a response: the rest of its body, if the stated length is too
+// short. Where the pieces of responses arrive apart, it waits for as long as the next piece may take.
+func (a *attempt) awaitTrailing(connection *upstreamConn) []byte {
+	a.pool.spread.observe(connection.responseSpread())
+	trailing := trailingBytes(connection.conn, connection.reader, maxUpstreamHead)
+	wait := a.pool.spread.trailingWait()
+	if len(trailing) > 0 || wait == 0 {
+		return trailing
+	}
+	connection.conn.SetReadDeadline(time.Now().Add(wait))
+	_ = connection.reader.WaitReadable() // it fails if nothing arrives in time, or the connection has ended
+	return trailingBytes(connection.conn, connection.reader, maxUpstreamHead)
+}
+
 // recordResult records that the attempt's response was read, or that reading it failed.
 func (a *attempt) recordResult() {
 	a.mu.Lock()
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -93,7 +93,7 @@
 		if status, _, body := client.readAnswer(); status != 200 || body != id {
 			t.Fatalf("request %s: got %d %q, want 200 with its id", id, status, body)
 		}
-		time.Sleep(15 * time.Millisecond) // longer than settleTime: an idle connection could be reused
+		time.Sleep(settleTime + 5*time.Millisecond) // an idle connection could be reused
 	}
 	for i, request := range diskServer.received() {
 		if request.connection != i {
--- a/internal/platform/gateway_test.go
+++ b/internal/platform/gateway_test.go
@@ -31,7 +31,10 @@
 	fixture := startGateway(t, 256, diskServer)
 	frontend, upstream := fixture.gateway.frontend, fixture.gateway.upstream
 	fixture.discovery.awaitWatches(t, 1)
-	for i := range 50 { // opens all connections to the disk server between which the pool alternates
+	// The pool alternates between connections, the more the faster requests follow each other. All are opened
+	// before: the first answers are slower, and the connections rest for so short a time that they are few.
+	upstream.settleTime = 10 * time.Millisecond
+	for i := range 400 {
 		fixture.serveOnce(-1 - i)
 	}
 	openBefore, _ := upstream.countConnections()
--- a/internal/platform/upstream.go
+++ b/internal/platform/upstream.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"landingpaddle/internal/daemon"
 	"landingpaddle/scheduler"
@@ -24,12 +25,15 @@
 
 	// connect dials a TCP connection. Tests replace it before the first attempt; it is read without a lock.
 	connect func(ctx context.Context, network, address string) (net.Conn, error)
+	// settleTime is how long a connection rests after a response. Tests replace it in the same way.
+	settleTime time.Duration
 
 	mu          sync.Mutex
 	idle        map[scheduler.Server][]*upstreamConn // in the order of their release; no empty lists
 	connections int                                  // open or being dialed
 	attempts    map[scheduler.Server]int             // in flight; no zero counts
 
+	spread   *responseSpread
 	counters upstreamCounters
 }
 
@@ -51,8 +55,10 @@
 		ctx: ctx, loop: loop, config: config, addresses: addresses, log: log,
 		maxConnections: maxConnections,
 		connect:        (&net.Dialer{}).DialContext,
+		settleTime:     settleTime,
 		idle:           map[scheduler.Server][]*upstreamConn{},
 		attempts:       map[scheduler.Server]int{},
+		spread:         newResponseSpread(),
 	}
 }
 
--- a/internal/platform/upstream_conn.go
+++ b/internal/platform/upstream_conn.go
@@ -37,6 +37,22 @@
 	isUnused  bool      // no response has arrived on it yet
 }
 
+// beginResponse states that a request is about to be written, whose response is the next message.
+func (c *upstreamConn) beginResponse() {
+	if conn, ok := c.conn.(*arrival.Conn); ok {
+		conn.BeginSpread()
+	}
+}
+
+// responseSpread returns the time between the first and the last read of the present response; 0 if the
+// connection does not tell.
+func (c *upstreamConn) responseSpread() time.Duration {
+	if conn, ok := c.conn.(*arrival.Conn); ok {
+		return conn.Spread()
+	}
+	return 0
+}
+
 // acquire takes an idle connection without unsolicited bytes from the pool: of those that have settled, the
 // one released last; nil if there is none. On a connection that has not settled, bytes that belong to no
 // request may still arrive and would be read as the next response.
@@ -62,7 +78,7 @@
 	idle := p.idle[server]
 	found := -1
 	for i, connection := range idle {
-		if connection.isUnused || time.Since(connection.idleSince) >= settleTime {
+		if connection.isUnused || time.Since(connection.idleSince) >= p.settleTime {
 			found = i
 		}
 	}
