--- a/internal/arrival/conn.go
+++ b/internal/arrival/conn.go
@@ -185,10 +185,13 @@
 // with Read.
 func (c *Conn) AwaitHangup() error { return c.raw.Read(pollHangup) }
 
+// hangupEvents are the events of which each states that the peer has disconnected or the connection broke.
+const hangupEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
 func pollHangup(descriptor uintptr) bool {
 	descriptors := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
-	ready, err := unix.Poll(descriptors, 0)
-	return err == nil && ready > 0
+	_, err := unix.Poll(descriptors, 0)
+	return err == nil && descriptors[0].Revents&hangupEvents != 0
 }
 
 // BeginHandling states that the reader works on data that it read earlier.
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -88,8 +88,8 @@
 	return http1.CheckPipelined(trailing, http.MethodGet, http.MethodPut)
 }
 
-// process submits a request to the loop and waits for its answer. If the client disconnects, it reports that
-// to the loop, which then ends the call. process reports whether the connection stays open.
+// process passes a request to the loop and waits for its answer. It reports whether the connection stays
+// open.
 func (f *frontend) process(request *inFlightRequest) bool {
 	client := request.client
 	defer f.bodyBytes.Add(-int64(len(request.body)))
@@ -109,31 +109,43 @@
 		return false
 	}
 	f.beginProcessing(client)
-	reason := daemon.ReasonOverload
-	if presence == clientPresent {
-		reason = f.loop.Admit(f.limits.openRequests)
-	}
-	if reason != "" {
+	isConnected := true
+	if reason := f.admit(presence); reason != "" {
 		client.finishHandling() // before the answer, as the client may not read it
 		f.reject(request, reason)
 	} else {
-		f.loop.Submit(request.call)
-		client.finishHandling()
-		switch f.readAheadUntilAnswered(request) {
-		case readAheadDisconnected:
-			f.loop.CancelCall(request.call)
-			<-request.answered
-			return false
-		case readAheadInvalid:
-			f.counters.invalid.Add(1)
-			f.loop.FailCall(request.call, daemon.ReasonBadRequest)
-		}
+		isConnected = f.submit(request)
 	}
 	<-request.answered
-	if request.isLast {
+	if isConnected && request.isLast {
 		f.linger(client)
 	}
-	return !request.isLast
+	return isConnected && !request.isLast
+}
+
+// admit returns "" if a request of a client may be submitted, else the reason of its rejection.
+func (f *frontend) admit(presence clientPresence) (reason string) {
+	if presence == clientUnseen {
+		return daemon.ReasonOverload
+	}
+	return f.loop.Admit(f.limits.openRequests)
+}
+
+// submit submits an admitted request to the loop and watches its client until it is answered. If the client
+// disconnects, or turns out to have sent an invalid request, the loop ends the call. submit reports whether
+// the client is still connected.
+func (f *frontend) submit(request *inFlightRequest) (isConnected bool) {
+	f.loop.Submit(request.call)
+	request.client.finishHandling()
+	switch f.readAheadUntilAnswered(request) {
+	case readAheadDisconnected:
+		f.loop.CancelCall(request.call)
+		return false
+	case readAheadInvalid:
+		f.counters.invalid.Add(1)
+		f.loop.FailCall(request.call, daemon.ReasonBadRequest)
+	}
+	return true
 }
 
 // reject answers a request that the loop did not admit.
