--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -120,7 +120,7 @@
 		a.reportInvalid(entry, err)
 		return attemptResult{code: scheduler.Reset}
 	}
-	trailing := a.awaitTrailing(connection)
+	trailing := a.awaitTrailing(connection, len(response.Body))
 	if len(trailing) > 0 {
 		a.pool.counters.unsolicited.Add(1)
 	}
@@ -142,8 +142,8 @@
 
 // awaitTrailing returns what has arrived behind a response: the rest of its body, if the stated length is too
 // short. Where the pieces of responses arrive apart, it waits for as long as the next piece may take.
-func (a *attempt) awaitTrailing(connection *upstreamConn) []byte {
-	a.pool.spread.observe(connection.responseSpread())
+func (a *attempt) awaitTrailing(connection *upstreamConn, bodyBytes int) []byte {
+	a.pool.spread.observe(connection.responseSpread(), bodyBytes)
 	trailing := trailingBytes(connection.conn, connection.reader, maxUpstreamHead)
 	wait := a.pool.spread.trailingWait()
 	if len(trailing) > 0 || wait == 0 {
--- a/internal/platform/response_spread_test.go
+++ b/internal/platform/response_spread_test.go
@@ -54,18 +54,19 @@
 		t.Errorf("with no response yet: got a wait of %v, want some milliseconds", wait)
 	}
 	for range manyResponses {
-		spread.observe(20 * time.Microsecond)
+		spread.observe(20*time.Microsecond, 100)
 	}
+	spread.observe(2*time.Millisecond, maxSpreadBody+1) // a large response tells nothing
 	if wait := spread.trailingWait(); wait != 0 {
 		t.Errorf("after whole responses: got a wait of %v, want none", wait)
 	}
 	for _, apart := range []time.Duration{minSpread, 2500 * time.Microsecond} {
-		spread.observe(apart)
+		spread.observe(apart, 100)
 		if wait, want := spread.trailingWait(), max(2*apart, minTrailingWait); wait != want {
 			t.Errorf("after pieces %v apart: got a wait of %v, want %v", apart, wait, want)
 		}
 	}
-	spread.observe(time.Second)
+	spread.observe(time.Second, 100)
 	if wait := spread.trailingWait(); wait != spreadWaitFactor*maxSpread || wait >= 10*time.Millisecond {
 		t.Errorf("after a slow response: got a wait of %v, want %v", wait, spreadWaitFactor*maxSpread)
 	}
