--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -45,7 +45,7 @@
 	usedIDMemoryDivisor, usedIDBytes = 64, 128
 	// The runtime's memory limit is at most this share of the machine's memory, and of what programBytes
 	// leaves of it.
-	memoryLimitPercent, remainingMemoryPercent = 60, 85
+	memoryLimitPercent, remainingMemoryPercent = 60, 90
 	// programBytes is the memory of the program's text and data, which the runtime's limit does not include.
 	programBytes = 12 << 20
 )
