Keep a request that is complete when its read deadline passes

Found by reading the change: a request with data behind it was dropped without an answer if the deadline for its last byte, or an eviction's wake-up, passed while what followed was read ahead. Cause: observePresence took the timeout for a disconnect. No caller was seen to meet it.

Change: a timeout there says nothing about the client, as the request is complete.

--- a/internal/platform/arrivals_test.go
+++ b/internal/platform/arrivals_test.go
@@ -38,6 +38,25 @@
 	return f, client, peer
 }
 
+// Guards against a request that is dropped without an answer: it was received whole, and the time in which it
+// had to be received, or that of an eviction, ended while what followed it was read.
+func TestFrontend_ObservesPresenceAfterReadDeadline(t *testing.T) {
+	f, client, peer := frontendWithClient(t)
+	if _, err := peer.Write([]byte(readText("a1"))); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "data has arrived", func() bool { return !isOpenAndEmpty(client.conn) })
+	client.conn.SetReadDeadline(wakeDeadline)
+	if presence := f.observePresence(client); presence != clientPresent {
+		t.Errorf("got presence %d, want present (%d)", presence, clientPresent)
+	}
+	peer.Close()
+	client.conn.SetReadDeadline(time.Time{})
+	eventually(t, "the client is gone", func() bool {
+		return f.observePresence(client) == clientDisconnected
+	})
+}
+
 // A client's request counts as not submitted from its arrival until Submit has returned, whatever the session
 // is doing; a request behind it on the connection does not count.
 func TestFrontend_TellsUnsubmittedRequests(t *testing.T) {
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -39,6 +39,8 @@
 				return clientUnseen
 			}
 			return clientPresent
+		case isTimeout(err): // the request is complete, whatever deadline it had
+			return clientPresent
 		case err != nil:
 			return clientDisconnected
 		}
