One rejection, one check for silent clients and hang-ups, one end of stopped calls

Behaviour stays. The answer of a rejection that the scheduler did not decide on stood in the frontend and, with this change, in the loop: both use daemon.Rejection. Three places told a silent connection, and the check for a hang-up stood beside clientConn's own. endStopped is one function, and waiting for room needs no timer of its own.

--- a/internal/daemon/attempt.go
+++ b/internal/daemon/attempt.go
@@ -142,7 +142,7 @@
 	if end.code == scheduler.OK {
 		l.resolve(r, clientAnswer(end.answer), end.payload)
 	} else if r.call.attemptsStopped.Load() {
-		l.endUnattempted(r.call)
+		l.endStopped(r.call)
 	}
 	result.RequestDone = r.done
 	l.notify(result)
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -115,33 +116,27 @@
 	l.failCall(call, reason)
 }
 
-// endUnattempted ends a call whose attempts were stopped, unless one is in flight. The call is rejected if no
+// endStopped ends a call whose attempts were stopped, unless one is in flight. The call is rejected if no
 // attempt can have run.
-func (l *loop) endUnattempted(call *Call) {
-	if call.answered || call.requests == nil {
-		return
-	}
-	for _, r := range call.requests {
-		if len(r.inFlight) > 0 {
-			return
-		}
-	}
-	l.endStopped(call)
-}
-
-// endStopped ends a call whose attempts were stopped.
 func (l *loop) endStopped(call *Call) {
-	if call.isRanged() || call.requests[0].mayHaveRun {
+	isInFlight := func(r *request) bool { return len(r.inFlight) > 0 }
+	switch {
+	case call.answered || call.requests == nil || slices.ContainsFunc(call.requests, isInFlight):
+	case call.isRanged() || call.requests[0].mayHaveRun:
 		l.failCall(call, ReasonOverload)
-		return
+	default:
+		l.finish(call, Rejection(&l.settings, ReasonOverload), nil)
+		l.withdraw([]uint32{call.requests[0].id})
 	}
-	retryAfter := time.Duration(0)
-	if l.settings.RetryAfter {
-		retryAfter = l.settings.MaxRetryAfter
+}
+
+// Rejection returns the answer to a request that a driver or the loop rejects, not the scheduler.
+func Rejection(settings *scheduler.Settings, reason string) proto.Answer {
+	answer := proto.Answer{Code: proto.Rejected, Reason: reason}
+	if settings.RetryAfter {
+		answer.RetryAfter = settings.MaxRetryAfter
 	}
-	answer := proto.Answer{Code: proto.Rejected, Reason: ReasonOverload, RetryAfter: retryAfter}
-	l.finish(call, answer, nil)
-	l.withdraw([]uint32{call.requests[0].id})
+	return answer
 }
 
 // failCall answers a call as failed and withdraws its requests from the scheduler.
--- a/internal/daemon/counters.go
+++ b/internal/daemon/counters.go
@@ -17,7 +17,8 @@
 
 	// Attempts dispatched; results that arrived after their attempt had ended, which are ignored; attempts
 	// not sent because their request had ended or their time was up; batches; collections of arrivals that
-	// had to wait for unread requests; endpoint snapshots that could not be saved.
+	// had to wait for unread requests, and those of them given up; endpoint snapshots that could not be
+	// saved.
 	Attempts, LateResults, Withheld, Batches, Collections, CollectionsGivenUp, SnapshotFailures atomic.Uint64
 
 	// Attempts that ended, by result code.
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -28,7 +28,7 @@
 // attemptsStopped reports that no further attempt of a call may start.
 type attemptsStopped struct{ call *Call }
 
-func (m attemptsStopped) apply(l *loop) { l.endUnattempted(m.call) }
+func (m attemptsStopped) apply(l *loop) { l.endStopped(m.call) }
 
 // operationResult reports how an operation ended.
 type operationResult struct {
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -109,8 +109,6 @@
 func (f *frontend) awaitRoom(client *clientConn) bool {
 	beganAt := time.Now()
 	defer func() { f.counters.roomWait.Add(uint64(time.Since(beganAt).Microseconds())) }()
-	retry := time.NewTimer(roomCheckInterval)
-	defer retry.Stop()
 	for deadline := beganAt.Add(maxRoomWait); ; {
 		isLastTry := time.Now().After(deadline)
 		hasSilent := f.hasSilent()
@@ -120,10 +118,9 @@
 		case isLastTry || !hasSilent && !f.isLingerLimitReached():
 			return false
 		}
-		retry.Reset(roomCheckInterval)
 		select {
 		case <-f.freed:
-		case <-retry.C:
+		case <-time.After(roomCheckInterval):
 		}
 	}
 }
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -44,7 +44,7 @@
 	hasPipelined   bool      // a part of the next request arrived while one is in flight
 	drainingSince  time.Time // when the connection's last data began to be drained; zero: it did not
 
-	hasWritten  bool  // something was written to the connection, or was tried to; used with a request only
+	hasWritten  bool  // something may have been written; used by the session, or by the answer it waits for
 	bufferBytes int64 // part of the read buffer that counts in frontend.bodyBytes; used by the session only
 }
 
@@ -58,6 +58,10 @@
 	return client
 }
 
+// isSilent reports whether nothing was received on the connection since it was accepted. The caller holds
+// frontend.mu.
+func (c *clientConn) isSilent() bool { return c.state == stateIdle && c.requests == 0 }
+
 // beginHandling states that a request is being read that is not submitted yet.
 func (c *clientConn) beginHandling() {
 	if c.arrivals != nil {
@@ -73,6 +77,10 @@
 	return c.arrivals.LastSeen()
 }
 
+// hasHungUp reports whether the client has disconnected, whatever data is unread; false, if the connection
+// does not tell.
+func (c *clientConn) hasHungUp() bool { return c.arrivals != nil && c.arrivals.HasHungUp() }
+
 // awaitHangup blocks until the client has disconnected, whatever data is unread, or until the read deadline.
 func (c *clientConn) awaitHangup() error {
 	if c.arrivals == nil {
--- a/internal/platform/eviction.go
+++ b/internal/platform/eviction.go
@@ -44,7 +44,7 @@
 // not apply to a connection with a request in flight, which is never evicted.
 func (c *clientConn) evictionRank() (rank int, after time.Duration) {
 	switch {
-	case c.state == stateIdle && c.requests == 0:
+	case c.isSilent():
 		return rankSilent, evictSilentAfter
 	case c.state == stateReading:
 		return rankReading, evictReadingAfter
@@ -113,7 +113,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for client := range f.connections {
-		if client.state == stateIdle && client.requests == 0 {
+		if client.isSilent() {
 			return true
 		}
 	}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -86,10 +86,10 @@
 			counts.working++
 		case client.state == stateReading:
 			counts.reading++
-		case client.requests > 0:
-			counts.idle++
-		default:
+		case client.isSilent():
 			counts.silent++
+		default:
+			counts.idle++
 		}
 	}
 	return counts
--- a/internal/platform/read_ahead.go
+++ b/internal/platform/read_ahead.go
@@ -29,7 +29,7 @@
 // only behind all data, unless the kernel holds all of that.
 func (f *frontend) observePresence(client *clientConn) clientPresence {
 	for !isOpenAndEmpty(client.conn) {
-		if hasHungUp(client.conn) {
+		if client.hasHungUp() {
 			return clientDisconnected
 		}
 		err := f.readAhead(client)
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -153,11 +153,7 @@
 	f.releaseID(request, proto.Rejected)
 	f.counters.overLimit.Add(1)
 	f.log.Debug(messageRequestRejected, attrReason, reason, attrRequestID, request.id)
-	answer := proto.Answer{Code: proto.Rejected, Reason: reason}
-	if f.site.Settings.RetryAfter {
-		answer.RetryAfter = f.site.Settings.MaxRetryAfter
-	}
-	request.writeAnswer(answer, nil)
+	request.writeAnswer(daemon.Rejection(&f.site.Settings, reason), nil)
 }
 
 // releaseID ends the reservation of a request's id with its answer. A request that was rejected has not run,
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -9,7 +9,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"landingpaddle/internal/arrival"
 	"landingpaddle/internal/http1"
 )
 
@@ -45,13 +44,6 @@
 	return count, nil
 }
 
-// hasHungUp reports whether a connection's peer has disconnected, whatever data is unread. If the connection
-// does not tell, it reports false.
-func hasHungUp(conn net.Conn) bool {
-	arrivals, ok := conn.(*arrival.Conn)
-	return ok && arrivals.HasHungUp()
-}
-
 // unsentBytes returns the number of bytes written to a connection that its peer has not acknowledged; 0 if
 // the system does not tell.
 func unsentBytes(conn net.Conn) (count int) {
